--- /dev/null
+++ b/packages/gypsumstage-ctl/src/DrainArguments.ts
@@ -0,0 +1,7 @@
+/** Arguments of the drain command. */
+export interface DrainArguments {
+    readonly action: string;
+    readonly scope: string | undefined;
+    readonly name: string | undefined;
+    readonly isForced: boolean;
+}
--- /dev/null
+++ b/packages/gypsumstage-ctl/src/createAdminClient.ts
@@ -0,0 +1,65 @@
+import { describeError } from "@gypsumstage/shared/describeError";
+import { failure } from "@gypsumstage/shared/failure";
+import type { Result } from "@gypsumstage/shared/Result";
+import { success } from "@gypsumstage/shared/success";
+import { Agent, request } from "undici";
+import type { AdminClient } from "./AdminClient.js";
+import type { CtlError } from "./CtlError.js";
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const ANSWER_TIMEOUT_MS = 20_000;
+const STATUS_OK = 200;
+
+const isConnectFailure = (err: unknown): boolean => {
+    const { code, syscall } = err as NodeJS.ErrnoException;
+    return syscall === "connect" || code === "UND_ERR_CONNECT_TIMEOUT" || code === "ECONNREFUSED";
+};
+
+/**
+ * Creates a client of the administration API. The next address is tried only when the one before could not be
+ * connected to, so that no command is given twice.
+ *
+ * @param addresses - `IP:port` of steer processes
+ * @returns the client
+ */
+export const createAdminClient = (addresses: readonly string[]): AdminClient => {
+    const dispatcher = new Agent({
+        connect: { timeout: CONNECT_TIMEOUT_MS },
+        headersTimeout: ANSWER_TIMEOUT_MS,
+    });
+    const callOne = async <Answer>(
+        address: string,
+        method: "GET" | "POST",
+        path: string,
+        body: unknown,
+    ): Promise<Result<Answer, CtlError>> => {
+        const content = body === undefined
+            ? {}
+            : { headers: { "content-type": "application/json" }, body: JSON.stringify(body) };
+        const res = await request(`http://${address}${path}`, { dispatcher, method, ...content });
+        const answer = await res.body.json() as { readonly error?: CtlError; };
+        return res.statusCode === STATUS_OK
+            ? success(answer as Answer)
+            : failure(answer.error ?? { kind: "request-invalid", reason: `status ${res.statusCode}` });
+    };
+    const call = async <Answer>(
+        method: "GET" | "POST",
+        path: string,
+        body?: unknown,
+    ): Promise<Result<Answer, CtlError>> => {
+        let reason = "no address";
+        for (const address of addresses) {
+            try {
+                return await callOne<Answer>(address, method, path, body);
+            }
+            catch (err) {
+                reason = `${address}: ${describeError(err)}`;
+                if (!isConnectFailure(err) && method === "POST") {
+                    return failure({ kind: "answer-lost", reason });
+                }
+            }
+        }
+        return failure({ kind: "admin-unreachable", reason });
+    };
+    return { get: path => call("GET", path), post: (path, body) => call("POST", path, body) };
+};
--- /dev/null
+++ b/packages/gypsumstage-ctl/src/explainCommand.ts
@@ -0,0 +1,36 @@
+import { success } from "@gypsumstage/shared/success";
+import { createOutput } from "./createOutput.js";
+import type { CtlCommand } from "./CtlCommand.js";
+import { formatTable } from "./formatTable.js";
+
+interface Explanation {
+    readonly route: string;
+    readonly reason: string;
+    readonly candidates: readonly {
+        readonly instance: string;
+        readonly dataCentre: string;
+        readonly region: string;
+        readonly freeSlots: number;
+        readonly note: string;
+    }[];
+}
+
+/**
+ * Makes the command that tells where requests of a route go and why.
+ *
+ * @param method - the HTTP method
+ * @param path - the path
+ * @returns the command
+ */
+export const explainCommand = (method: string, path: string): CtlCommand => async client => {
+    const query = new URLSearchParams({ method, path });
+    const res = await client.get<Explanation>(`/v1/explain?${query.toString()}`);
+    if (!res.ok) {
+        return res;
+    }
+    const rows = res.value.candidates.map(
+        each => [each.instance, each.dataCentre, each.region, String(each.freeSlots), each.note],
+    );
+    const table = formatTable(["INSTANCE", "DATA CENTRE", "REGION", "FREE SLOTS", "NOTE"], rows);
+    return success(createOutput(res.value, `${res.value.route}: ${res.value.reason}\n${table}`));
+};
--- /dev/null
+++ b/packages/gypsumstage-ctl/src/moveCommand.ts
@@ -0,0 +1,58 @@
+import type { SystemStatus } from "@gypsumstage/domain/SystemStatus";
+import { failure } from "@gypsumstage/shared/failure";
+import { success } from "@gypsumstage/shared/success";
+import { createOutput } from "./createOutput.js";
+import type { CtlCommand } from "./CtlCommand.js";
+import { formatTable } from "./formatTable.js";
+import type { MoveArguments } from "./MoveArguments.js";
+
+const listMoves: CtlCommand = async client => {
+    const res = await client.get<SystemStatus>("/v1/status");
+    if (!res.ok) {
+        return res;
+    }
+    const rows = res.value.moves.map(move => [move.service, move.from, move.to, String(move.part)]);
+    const text = rows.length === 0 ? "no moves" : formatTable(["MOVE OF", "FROM", "TO", "PART"], rows);
+    return success(createOutput(res.value.moves, text));
+};
+
+/**
+ * Makes the command that starts, shows or cancels a move.
+ *
+ * @param args - the arguments
+ * @returns the command
+ */
+export const moveCommand = ({ action, service, from, to, part }: MoveArguments): CtlCommand => {
+    switch (action) {
+        case "start":
+            return async client => {
+                const res = await client.post<{ readonly generation: number; }>("/v1/moves", {
+                    service,
+                    from,
+                    to,
+                    part,
+                });
+                return res.ok
+                    ? success(createOutput(res.value, `move accepted as generation ${res.value.generation}`))
+                    : res;
+            };
+        case "cancel":
+            return async client => {
+                const res = await client.post<{ readonly generation: number; }>("/v1/moves/cancel", {
+                    service,
+                    from,
+                });
+                return res.ok
+                    ? success(createOutput(res.value, `move cancelled as generation ${res.value.generation}`))
+                    : res;
+            };
+        case "status":
+            return listMoves;
+        default:
+            return async () =>
+                failure({
+                    kind: "request-invalid",
+                    reason: `move ${action}: allowed are start, status and cancel`,
+                });
+    }
+};
--- /dev/null
+++ b/packages/gypsumstage-domain/src/Drain.ts
@@ -0,0 +1,7 @@
+/** A planned removal of work from an endpoint, a data centre or a region. */
+export interface Drain {
+    readonly scope: "endpoint" | "dataCentre" | "region";
+    readonly name: string;
+    /** Wall-clock time at which it was accepted, in milliseconds since 1970. */
+    readonly startedAtMs: number;
+}
--- /dev/null
+++ b/packages/gypsumstage-domain/src/IntentError.ts
@@ -0,0 +1,12 @@
+/** Why an intent was refused before it was accepted. */
+export interface IntentError {
+    readonly kind: "intent-invalid";
+    readonly problems: readonly IntentProblem[];
+}
+
+interface IntentProblem {
+    readonly section: string;
+    readonly key: string;
+    readonly found: string;
+    readonly allowed: string;
+}
--- /dev/null
+++ b/packages/gypsumstage-entry/src/EntryContext.ts
@@ -0,0 +1,46 @@
+import type { SteeringView } from "@gypsumstage/domain/SteeringView";
+import type { Platform } from "@gypsumstage/platform/Platform";
+import type { InstanceSettings } from "@gypsumstage/shared/InstanceSettings";
+import type { Log } from "@gypsumstage/shared/Log";
+import type { Store } from "@gypsumstage/shared/Store";
+import type { AttemptBudget } from "@gypsumstage/steering/AttemptBudget";
+import type { EndpointEvent } from "@gypsumstage/steering/EndpointEvent";
+import type { EndpointState } from "@gypsumstage/steering/EndpointState";
+import type { KeyTable } from "@gypsumstage/steering/KeyTable";
+import type { ViewEvent } from "@gypsumstage/steering/ViewEvent";
+import type { Tracer } from "@opentelemetry/api";
+import type { Dispatcher } from "undici";
+import type { BudgetKeeper } from "./BudgetKeeper.js";
+import type { ClassCaps } from "./ClassCaps.js";
+import type { EntryMetrics } from "./EntryMetrics.js";
+import type { LatencyKeeper } from "./LatencyKeeper.js";
+import type { LinkPacers } from "./LinkPacers.js";
+import type { MoveRamps } from "./MoveRamps.js";
+import type { Places } from "./Places.js";
+import type { SlotQueue } from "./SlotQueue.js";
+import type { StoredAnswer } from "./StoredAnswer.js";
+
+/** What the parts of the entry process work with. */
+export interface EntryContext {
+    readonly cfg: InstanceSettings;
+    readonly log: Log;
+    readonly incarnation: string;
+    readonly view: Store<SteeringView, ViewEvent>;
+    readonly endpoints: Store<readonly EndpointState[], EndpointEvent>;
+    readonly places: Places;
+    readonly budgets: BudgetKeeper;
+    readonly classCaps: ClassCaps;
+    readonly linkPacers: LinkPacers;
+    readonly slots: SlotQueue;
+    readonly latencies: LatencyKeeper;
+    readonly attempts: Store<AttemptBudget, "first-attempt" | "extra-attempt">;
+    readonly moves: MoveRamps;
+    readonly keys: KeyTable<StoredAnswer>;
+    readonly platform: Platform;
+    readonly dispatcher: Dispatcher;
+    readonly tracer: Tracer;
+    readonly metrics: EntryMetrics;
+    /** When the steer process last answered; records are judged by this time while it is down. */
+    readonly viewAtMs: () => number;
+    readonly isLeaving: () => boolean;
+}
--- /dev/null
+++ b/packages/gypsumstage-entry/src/EntryGaugeSource.ts
@@ -0,0 +1,9 @@
+/** What the gauges of the entry read. */
+export interface EntryGaugeSource {
+    readonly freeSlots: () => Readonly<Record<string, number>>;
+    readonly budgets: () => readonly { readonly resource: string; readonly usable: number; }[];
+    readonly viewAgeMs: () => number;
+    readonly generation: () => number;
+    readonly keys: () => number;
+    readonly slowedEndpoints: () => number;
+}
--- /dev/null
+++ b/packages/gypsumstage-entry/src/EntryMetrics.ts
@@ -0,0 +1,12 @@
+import type { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** Metrics of the entry process. */
+export interface EntryMetrics {
+    readonly registry: Registry;
+    readonly requests: Counter;
+    readonly latency: Histogram;
+    readonly slotWait: Histogram;
+    readonly attempts: Counter;
+    readonly rejected: Counter;
+    readonly gauges: readonly Gauge[];
+}
--- /dev/null
+++ b/packages/gypsumstage-entry/src/EntryReply.ts
@@ -0,0 +1,10 @@
+import type { AnsweredAttempt } from "./AnsweredAttempt.js";
+import type { EntryProblem } from "./EntryProblem.js";
+import type { StoredAnswer } from "./StoredAnswer.js";
+
+/** What the entry answers a caller or another entry. */
+export type EntryReply =
+    | { readonly kind: "answer"; readonly answer: AnsweredAttempt; }
+    /** An answer kept from an earlier run, or a small one that was kept for repeats. */
+    | { readonly kind: "stored"; readonly answer: StoredAnswer; readonly isReplay: boolean; }
+    | { readonly kind: "problem"; readonly problem: EntryProblem; };
--- /dev/null
+++ b/packages/gypsumstage-entry/src/Placement.ts
@@ -0,0 +1,8 @@
+import type { HeardRecord } from "@gypsumstage/domain/HeardRecord";
+import type { HeldSlot } from "./HeldSlot.js";
+
+/** Where the next attempt of a request goes. */
+export type Placement =
+    | { readonly kind: "endpoint"; readonly slot: HeldSlot; readonly reason: string; }
+    | { readonly kind: "peer"; readonly peer: HeardRecord; readonly reason: string; }
+    | { readonly kind: "none"; readonly reason: string; };
--- /dev/null
+++ b/packages/gypsumstage-entry/src/ReplyWriter.ts
@@ -0,0 +1,12 @@
+import type { ServerResponse } from "node:http";
+import type { AnswerHeaders } from "./AnswerHeaders.js";
+import type { TakeBytes } from "./TakeBytes.js";
+
+/** How a reply is written. */
+export interface ReplyWriter {
+    readonly res: ServerResponse;
+    /** Header fields beside those of the answer. */
+    readonly headers: AnswerHeaders;
+    /** Waits until bytes may be sent; undefined when the reply crosses no link. */
+    readonly take: TakeBytes | undefined;
+}
--- /dev/null
+++ b/packages/gypsumstage-entry/src/SlotQueue.ts
@@ -0,0 +1,14 @@
+import type { HeldSlot } from "./HeldSlot.js";
+import type { SlotAsk } from "./SlotAsk.js";
+
+/** Gives out the slots of the endpoints, in the order of asking within each length. */
+export interface SlotQueue {
+    /** Takes a slot that is free now. */
+    readonly tryAcquire: (ask: SlotAsk) => HeldSlot | undefined;
+    /** Waits for a slot; undefined when none came free in time or the queue is full. */
+    readonly acquire: (ask: SlotAsk, waitMs: number) => Promise<HeldSlot | undefined>;
+    /** Gives free slots to those that wait; called when the endpoints changed. */
+    readonly serve: () => void;
+    /** Slots that are free for short work, by service. */
+    readonly freeSlots: () => Readonly<Record<string, number>>;
+}
--- /dev/null
+++ b/packages/gypsumstage-entry/src/createEntryServer.ts
@@ -0,0 +1,58 @@
+import Fastify, { type FastifyInstance } from "fastify";
+import type { Socket } from "node:net";
+import { HEADERS } from "./HEADERS.js";
+import type { RequestHandler } from "./RequestHandler.js";
+
+const MAX_HEADER_BYTES = 16_384;
+const HEADERS_TIMEOUT_MS = 10_000;
+/** Longer than the idle time of the callers' and the entries' own clients, which close first. */
+const KEEP_ALIVE_MS = 15_000;
+
+const STATUS_BY_CODE: Readonly<Record<string, number>> = {
+    HPE_HEADER_OVERFLOW: 431,
+    ERR_HTTP_REQUEST_TIMEOUT: 408,
+};
+
+/**
+ * Creates the HTTP server of the entry. Bodies are left unread for the handler to stream.
+ *
+ * @param handler - handles each request
+ * @param onMalformed - hears of requests that the HTTP parser refused
+ * @returns the server, not yet listening
+ */
+export const createEntryServer = (
+    handler: RequestHandler,
+    onMalformed: (code: string) => void,
+): FastifyInstance => {
+    const answerMalformed = (err: NodeJS.ErrnoException, socket: Socket): void => {
+        const code = err.code ?? "unknown";
+        onMalformed(code);
+        if (code === "ECONNRESET" || !socket.writable) {
+            socket.destroy();
+            return;
+        }
+        const status = STATUS_BY_CODE[code] ?? 400;
+        const body = JSON.stringify({
+            error: { kind: "request-malformed", reason: code, outcome: "not-run" },
+        });
+        socket.end(
+            `HTTP/1.1 ${status} Malformed Request\r\ncontent-type: application/json\r\nconnection: close\r\n`
+                + `${HEADERS.outcome}: not-run\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+        );
+    };
+    const app = Fastify({
+        keepAliveTimeout: KEEP_ALIVE_MS,
+        requestTimeout: 0,
+        http: { maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: HEADERS_TIMEOUT_MS },
+        clientErrorHandler: answerMalformed,
+        forceCloseConnections: "idle",
+        exposeHeadRoutes: false,
+    });
+    app.removeAllContentTypeParsers();
+    app.addContentTypeParser("*", (_req, _payload, done) => done(null)); // eslint-disable-line no-restricted-syntax -- fastify's "no error"
+    app.all("/*", (req, reply) => {
+        reply.hijack();
+        void handler(req.raw, reply.raw);
+    });
+    return app;
+};
--- /dev/null
+++ b/packages/gypsumstage-entry/src/createRequestHandler.ts
@@ -0,0 +1,106 @@
+import { describeError } from "@gypsumstage/shared/describeError";
+import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import type { Result } from "@gypsumstage/shared/Result";
+import { context as traceContext, propagation, SpanKind, trace } from "@opentelemetry/api";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { createProblem } from "./createProblem.js";
+import type { EntryContext } from "./EntryContext.js";
+import type { EntryReply } from "./EntryReply.js";
+import type { Exchange } from "./Exchange.js";
+import { readExchange } from "./readExchange.js";
+import type { RequestHandler } from "./RequestHandler.js";
+import { serveRequest } from "./serveRequest.js";
+import type { TakeBytes } from "./TakeBytes.js";
+import { writeReply } from "./writeReply.js";
+
+const MS_PER_SECOND = 1_000;
+
+const createCancellation = (req: IncomingMessage, res: ServerResponse): {
+    readonly signal: AbortSignal;
+    readonly setDeadline: (deadlineMs: number, mayCancel: boolean) => void;
+    readonly finish: () => void;
+} => {
+    const controller = new AbortController();
+    let timer: NodeJS.Timeout | undefined;
+    let isCancellable = true;
+    const onClose = (): void => {
+        // Work that must run once goes on after its caller has left, unless the caller still owes a part of the body.
+        if (!res.writableFinished && (isCancellable || !req.complete)) {
+            controller.abort(new Error("the caller has left"));
+        }
+    };
+    res.on("close", onClose);
+    return {
+        signal: controller.signal,
+        setDeadline: (deadlineMs, mayCancel) => {
+            isCancellable = mayCancel;
+            timer = setTimeout(() => controller.abort(new Error("the deadline has passed")), deadlineMs);
+        },
+        finish: () => clearTimeout(timer),
+    };
+};
+
+/**
+ * Creates the handler of the requests of callers, or of those that other entries forward.
+ *
+ * @param context - the process
+ * @param isPeer - whether the requests come from other entries
+ * @returns the handler
+ */
+export const createRequestHandler =
+    (context: EntryContext, isPeer: boolean): RequestHandler => async (req, res) => {
+        const nowMs = monotonicNow();
+        const cancellation = createCancellation(req, res);
+        const parent = propagation.extract(traceContext.active(), req.headers);
+        const span = context.tracer.startSpan(
+            isPeer ? "entry forwarded" : "entry",
+            { kind: SpanKind.SERVER },
+            parent,
+        );
+        const spanContext = trace.setSpan(parent, span);
+        const received = { req, signal: cancellation.signal, nowMs, isPeer, trace: spanContext };
+        const exchange = readExchange(context, received);
+        let reply: EntryReply;
+        if (exchange.ok) {
+            cancellation.setDeadline(exchange.value.deadlineAtMs - nowMs, exchange.value.cls.isIdempotent);
+            reply = await serveRequest(context, exchange.value).catch((err: unknown) => {
+                context.log("error", "request-failed", { reason: describeError(err) });
+                return createProblem("internal-error", "unknown", describeError(err));
+            });
+        }
+        else {
+            reply = exchange.error;
+        }
+        const headers: Record<string, string> = {};
+        propagation.inject(spanContext, headers);
+        if (context.isLeaving() && !isPeer) {
+            headers["connection"] = "close";
+        }
+        const isWhole = await writeReply({
+            res,
+            headers,
+            take: createTake(context, exchange, cancellation.signal),
+        }, reply);
+        cancellation.finish();
+        const cls = exchange.ok ? exchange.value.cls.name : "none";
+        const outcome = reply.kind === "problem" ? reply.problem.outcome : isWhole ? "served" : "cut";
+        context.metrics.requests.inc({ class: cls, outcome });
+        context.metrics.latency.observe({ class: cls }, (monotonicNow() - nowMs) / MS_PER_SECOND);
+        span.setAttributes({ "gypsumstage.class": cls, "gypsumstage.outcome": outcome });
+        span.end();
+    };
+
+const createTake = (
+    context: EntryContext,
+    exchange: Result<Exchange, EntryReply>,
+    signal: AbortSignal,
+): TakeBytes | undefined => {
+    if (!exchange.ok || exchange.value.source.kind !== "peer") {
+        return undefined;
+    }
+    const { source, cls } = exchange.value;
+    const { region } = source;
+    return region === context.cfg.instance.region || region === ""
+        ? undefined
+        : bytes => context.linkPacers.take(region, bytes, cls.length, signal);
+};
--- /dev/null
+++ b/packages/gypsumstage-entry/src/executeKeyed.ts
@@ -0,0 +1,73 @@
+import { describeError } from "@gypsumstage/shared/describeError";
+import type { IncomingHttpHeaders } from "node:http";
+import { PassThrough, pipeline } from "node:stream";
+import type { AnsweredAttempt } from "./AnsweredAttempt.js";
+import type { Attempt } from "./Attempt.js";
+import { collectBody } from "./collectBody.js";
+import { createProblem } from "./createProblem.js";
+import type { EntryContext } from "./EntryContext.js";
+import type { EntryReply } from "./EntryReply.js";
+import type { Exchange } from "./Exchange.js";
+import { forwardHeaders } from "./forwardHeaders.js";
+import { KEPT_ANSWER_BYTES } from "./KEPT_ANSWER_BYTES.js";
+import { replyFor } from "./replyFor.js";
+import { runAttempts } from "./runAttempts.js";
+import type { StoredAnswer } from "./StoredAnswer.js";
+
+const settleAnswer = async (
+    context: EntryContext,
+    key: string,
+    answer: AnsweredAttempt,
+): Promise<EntryReply> => {
+    const headers = forwardHeaders(answer.headers as IncomingHttpHeaders);
+    const collected = await collectBody(answer.body, KEPT_ANSWER_BYTES);
+    switch (collected.kind) {
+        case "whole": {
+            const stored: StoredAnswer = { status: answer.status, headers, body: collected.body };
+            context.keys.settle(key, { kind: "served", answer: stored });
+            return { kind: "stored", answer: stored, isReplay: false };
+        }
+        case "large": {
+            context.keys.settle(key, {
+                kind: "served",
+                answer: { status: answer.status, headers, body: undefined },
+            });
+            const rest = new PassThrough();
+            rest.write(collected.start);
+            pipeline(answer.body, rest, () => undefined);
+            return { kind: "answer", answer: { ...answer, body: rest } };
+        }
+        case "cut":
+            context.keys.settle(key, { kind: "unknown" });
+            return createProblem("upstream-failed", "unknown", collected.reason);
+    }
+};
+
+/**
+ * Runs a request whose key `begin` let run, and settles the key whatever happens.
+ *
+ * @param context - the process
+ * @param exchange - the request
+ * @param key - its key
+ * @returns the reply
+ */
+export const executeKeyed = async (
+    context: EntryContext,
+    exchange: Exchange,
+    key: string,
+): Promise<EntryReply> => {
+    let attempt: Attempt;
+    try {
+        attempt = await runAttempts(context, exchange);
+    }
+    catch (err) {
+        context.keys.settle(key, { kind: "unknown" });
+        context.log("error", "attempt-failed", { reason: describeError(err) });
+        return createProblem("internal-error", "unknown", describeError(err));
+    }
+    if (attempt.kind === "answered") {
+        return settleAnswer(context, key, attempt);
+    }
+    context.keys.settle(key, { kind: attempt.kind === "unknown" ? "unknown" : "not-run" });
+    return replyFor(attempt, exchange);
+};
--- /dev/null
+++ b/packages/gypsumstage-entry/src/placeRequest.ts
@@ -0,0 +1,74 @@
+import type { HeardRecord } from "@gypsumstage/domain/HeardRecord";
+import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import { choosePeer } from "@gypsumstage/steering/choosePeer";
+import type { EntryContext } from "./EntryContext.js";
+import type { Exchange } from "./Exchange.js";
+import type { Placement } from "./Placement.js";
+import type { SlotAsk } from "./SlotAsk.js";
+
+const MAX_WAIT_MS = 25;
+
+const askOf = (exchange: Exchange, tried: ReadonlySet<string>): SlotAsk => ({
+    cls: exchange.cls,
+    remainingMs: exchange.deadlineAtMs - monotonicNow(),
+    tried,
+});
+
+const findPeer = (
+    context: EntryContext,
+    exchange: Exchange,
+    tried: ReadonlySet<string>,
+    preferredRegion: string | undefined,
+): HeardRecord | undefined =>
+    choosePeer({
+        view: context.view.get(),
+        service: exchange.cls.service,
+        self: context.cfg.instance,
+        preferredRegion,
+        tried,
+        nowMs: context.viewAtMs(),
+        random: Math.random,
+    });
+
+/**
+ * Decides where the next attempt of a request goes: to the region that a move names, else to an endpoint of the own
+ * data centre, else to another place of the region, else after a short wait to another region.
+ *
+ * @param context - the process
+ * @param exchange - the request
+ * @param tried - endpoints and instances that this request has tried
+ * @returns the place, with the reason for traces
+ */
+export const placeRequest = async (
+    context: EntryContext,
+    exchange: Exchange,
+    tried: ReadonlySet<string>,
+): Promise<Placement> => {
+    if (exchange.source.kind === "peer") {
+        const slot = await context.slots.acquire(askOf(exchange, tried), MAX_WAIT_MS);
+        return slot === undefined
+            ? { kind: "none", reason: "no free slot" }
+            : { kind: "endpoint", slot, reason: "forwarded here" };
+    }
+    const moved = context.moves.choose(exchange.cls.service);
+    const movedTo = moved === undefined ? undefined : findPeer(context, exchange, tried, moved);
+    if (movedTo !== undefined && movedTo.region === moved) {
+        return { kind: "peer", peer: movedTo, reason: "move" };
+    }
+    const slot = context.slots.tryAcquire(askOf(exchange, tried));
+    if (slot !== undefined) {
+        return { kind: "endpoint", slot, reason: "own data centre" };
+    }
+    const peer = findPeer(context, exchange, tried, undefined);
+    if (peer !== undefined && peer.region === context.cfg.instance.region) {
+        return { kind: "peer", peer, reason: "own region has free slots" };
+    }
+    const waited = await context.slots.acquire(askOf(exchange, tried), MAX_WAIT_MS);
+    if (waited !== undefined) {
+        return { kind: "endpoint", slot: waited, reason: "own data centre after a wait" };
+    }
+    const other = findPeer(context, exchange, tried, undefined);
+    return other === undefined
+        ? { kind: "none", reason: "no free slot anywhere" }
+        : { kind: "peer", peer: other, reason: "another region has free slots" };
+};
--- /dev/null
+++ b/packages/gypsumstage-entry/src/runAttempts.ts
@@ -0,0 +1,71 @@
+import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import { isRetryAllowed } from "@gypsumstage/steering/isRetryAllowed";
+import { trace } from "@opentelemetry/api";
+import type { AnswerHeaders } from "./AnswerHeaders.js";
+import type { Attempt } from "./Attempt.js";
+import { attemptPeer } from "./attemptPeer.js";
+import { attemptWithHedge } from "./attemptWithHedge.js";
+import { combineAttempts } from "./combineAttempts.js";
+import type { EntryContext } from "./EntryContext.js";
+import type { Exchange } from "./Exchange.js";
+import { HEADERS } from "./HEADERS.js";
+import type { Placement } from "./Placement.js";
+import { placeRequest } from "./placeRequest.js";
+
+const attemptAt = async (
+    context: EntryContext,
+    exchange: Exchange,
+    placement: Exclude<Placement, { readonly kind: "none"; }>,
+): Promise<Attempt> => {
+    if (placement.kind === "endpoint") {
+        return attemptWithHedge(context, exchange, placement.slot);
+    }
+    const headers: AnswerHeaders = exchange.key === undefined ? {} : { [HEADERS.keyChecked]: "yes" };
+    const startedAtMs = monotonicNow();
+    const attempt = await attemptPeer(context, exchange, placement.peer, headers);
+    if (placement.reason === "move") {
+        const isInTime = monotonicNow() - startedAtMs <= exchange.cls.latencyTargetMs;
+        context.moves.observe(exchange.cls.service, attempt.kind === "answered" && isInTime);
+    }
+    return attempt;
+};
+
+/**
+ * Has a request run: places it, and places it again while what is known of the failed attempt and the attempt
+ * budget allow it. A request that another entry forwarded gets one attempt, so that retries do not multiply.
+ *
+ * @param context - the process
+ * @param exchange - the request
+ * @returns what is known of the last attempt
+ */
+export const runAttempts = async (context: EntryContext, exchange: Exchange): Promise<Attempt> => {
+    const tried = new Set<string>();
+    let last: Attempt | undefined;
+    for (;;) {
+        const placement = await placeRequest(context, exchange, tried);
+        trace.getSpan(exchange.trace)?.addEvent("placed", { kind: placement.kind, reason: placement.reason });
+        if (placement.kind === "none") {
+            return combineAttempts(last, { kind: "refused", reason: placement.reason });
+        }
+        if (last !== undefined) {
+            context.attempts.dispatch("extra-attempt");
+        }
+        else {
+            context.attempts.dispatch("first-attempt");
+        }
+        tried.add(placement.kind === "endpoint" ? placement.slot.endpoint.name : placement.peer.name);
+        const attempt = combineAttempts(last, await attemptAt(context, exchange, placement));
+        const isFinal = attempt.kind === "answered" || exchange.signal.aborted
+            || exchange.source.kind === "peer"
+            || !isRetryAllowed(
+                exchange.cls,
+                attempt.kind,
+                !exchange.body.isPresent || exchange.body.isUntouched(),
+                context.attempts.get(),
+            );
+        if (isFinal) {
+            return attempt;
+        }
+        last = attempt;
+    }
+};
--- /dev/null
+++ b/packages/gypsumstage-entry/src/serveAtHome.ts
@@ -0,0 +1,78 @@
+import type { KeySettlement } from "@gypsumstage/steering/KeySettlement";
+import { once } from "node:events";
+import { createProblem } from "./createProblem.js";
+import type { EntryContext } from "./EntryContext.js";
+import type { EntryReply } from "./EntryReply.js";
+import type { Exchange } from "./Exchange.js";
+import { executeKeyed } from "./executeKeyed.js";
+import type { StoredAnswer } from "./StoredAnswer.js";
+
+const replyForSettlement = (settlement: KeySettlement<StoredAnswer>): EntryReply => {
+    switch (settlement.kind) {
+        case "served":
+            return settlement.answer.body === undefined
+                ? createProblem(
+                    "answer-not-kept",
+                    "served",
+                    "the request ran; its answer was too large to keep",
+                )
+                : { kind: "stored", answer: settlement.answer, isReplay: true };
+        case "unknown":
+            return createProblem(
+                "upstream-failed",
+                "unknown",
+                "an earlier attempt with this key may have run",
+            );
+        case "not-run":
+            return createProblem("no-capacity", "not-run", "an attempt with this key was refused");
+    }
+};
+
+const waitForSettlement = async (
+    settled: Promise<KeySettlement<StoredAnswer>>,
+    signal: AbortSignal,
+): Promise<EntryReply> => {
+    const timeout = signal.aborted ? Promise.resolve() : once(signal, "abort");
+    const settlement = await Promise.race([settled, timeout.then(() => undefined)]);
+    return settlement === undefined
+        ? createProblem("deadline-passed", "unknown", "an earlier attempt with this key still runs")
+        : replyForSettlement(settlement);
+};
+
+/**
+ * Serves a keyed request at the home of its key.
+ *
+ * @param context - the process
+ * @param exchange - the request
+ * @param key - the key
+ * @param madeAtMs - time of the key, in milliseconds since 1970
+ * @returns the reply
+ */
+export const serveAtHome = async (
+    context: EntryContext,
+    exchange: Exchange,
+    key: string,
+    madeAtMs: number,
+): Promise<EntryReply> => {
+    const verdict = context.keys.begin(key, madeAtMs, `${exchange.method} ${exchange.url}`);
+    switch (verdict.kind) {
+        case "execute":
+            return executeKeyed(context, exchange, key);
+        case "join":
+            return waitForSettlement(verdict.settled, exchange.signal);
+        case "replay":
+            return replyForSettlement(verdict.settlement);
+        case "too-old":
+            return createProblem("key-too-old", "unknown", "the key is older than its home remembers");
+        case "from-the-future":
+            return createProblem(
+                "key-from-the-future",
+                "not-run",
+                "the time in the key is ahead of the home's clock",
+            );
+        case "full":
+            return createProblem("key-table-full", "not-run", "the home cannot remember another key now");
+        case "mismatch":
+            return createProblem("key-mismatch", "not-run", "the key was used for another request");
+    }
+};
--- /dev/null
+++ b/packages/gypsumstage-entry/src/serveKeyed.ts
@@ -0,0 +1,47 @@
+import type { Attempt } from "./Attempt.js";
+import { attemptPeer } from "./attemptPeer.js";
+import { createProblem } from "./createProblem.js";
+import type { EntryContext } from "./EntryContext.js";
+import type { EntryReply } from "./EntryReply.js";
+import type { Exchange } from "./Exchange.js";
+import { findHome } from "./findHome.js";
+import { replyFor } from "./replyFor.js";
+import { runAttempts } from "./runAttempts.js";
+import { serveAtHome } from "./serveAtHome.js";
+
+const replyFromHome = (attempt: Attempt, exchange: Exchange): EntryReply => {
+    // What never reached the home may still have run there when the key was sent before.
+    if (attempt.kind === "not-sent") {
+        return createProblem("key-home-lost", "unknown", `the home cannot be reached: ${attempt.reason}`);
+    }
+    return replyFor(attempt, exchange);
+};
+
+/**
+ * Serves a request that must run at most once: at the home of its key, and nowhere else.
+ *
+ * @param context - the process
+ * @param exchange - the request
+ * @param key - the key
+ * @returns the reply
+ */
+export const serveKeyed = async (
+    context: EntryContext,
+    exchange: Exchange,
+    key: string,
+): Promise<EntryReply> => {
+    if (exchange.source.kind === "peer" && exchange.source.isKeyChecked) {
+        return replyFor(await runAttempts(context, exchange), exchange);
+    }
+    const home = await findHome(context, exchange, key);
+    switch (home.kind) {
+        case "here":
+            return serveAtHome(context, exchange, key, home.madeAtMs);
+        case "elsewhere":
+            return replyFromHome(await attemptPeer(context, exchange, home.peer, home.headers), exchange);
+        case "lost":
+            return createProblem("key-home-lost", "unknown", home.reason);
+        case "unclaimed":
+            return createProblem("key-claim-failed", "not-run", home.reason);
+    }
+};
--- /dev/null
+++ b/packages/gypsumstage-lookup/src/answerLookup.ts
@@ -0,0 +1,42 @@
+import type { LookupAnswer } from "@gypsumstage/domain/LookupAnswer";
+import { failure } from "@gypsumstage/shared/failure";
+import type { Result } from "@gypsumstage/shared/Result";
+import { success } from "@gypsumstage/shared/success";
+import { rankInstances } from "@gypsumstage/steering/rankInstances";
+import type { LookupError } from "./LookupError.js";
+import type { LookupInput } from "./LookupInput.js";
+
+const TTL_SECONDS = 2;
+
+/**
+ * Answers which instances a caller should use.
+ *
+ * @param input - what the process knows
+ * @param service - the service asked for
+ * @returns the answer, best instance first, with the home for idempotency keys
+ */
+export const answerLookup = (
+    input: LookupInput,
+    service: string | undefined,
+): Result<LookupAnswer, LookupError> => {
+    const { view, self } = input;
+    if (service === undefined || service === "") {
+        return failure({ kind: "service-missing" });
+    }
+    const { configuration } = view;
+    if (configuration === undefined) {
+        return failure({ kind: "nothing-known" });
+    }
+    if (!configuration.intent.services.includes(service)) {
+        return failure({ kind: "service-unknown", service });
+    }
+    const ranked = rankInstances(view, self, input.viewAtMs, input.random);
+    const home = ranked.find(each => each.incarnation !== undefined);
+    return success({
+        service,
+        instances: ranked.map(({ address, dataCentre, region }) => ({ address, dataCentre, region })),
+        home: home === undefined ? undefined : `${home.name}.${home.incarnation ?? ""}`,
+        ttlSeconds: TTL_SECONDS,
+        generation: configuration.generation,
+    });
+};
--- /dev/null
+++ b/packages/gypsumstage-lookup/src/startLookup.ts
@@ -0,0 +1,70 @@
+import { createApp } from "@gypsumstage/shared/createApp";
+import { createRpcClient } from "@gypsumstage/shared/createRpcClient";
+import { createStore } from "@gypsumstage/shared/createStore";
+import type { InstanceSettings } from "@gypsumstage/shared/InstanceSettings";
+import type { Log } from "@gypsumstage/shared/Log";
+import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import { registerMetrics } from "@gypsumstage/shared/registerMetrics";
+import { EMPTY_VIEW } from "@gypsumstage/steering/EMPTY_VIEW";
+import { updateView } from "@gypsumstage/steering/updateView";
+import { registerViewSync } from "@gypsumstage/view/registerViewSync";
+import { collectDefaultMetrics, Counter, Registry } from "prom-client";
+import { answerLookup } from "./answerLookup.js";
+import type { LookupError } from "./LookupError.js";
+
+const RPC_TIMEOUT_MS = 1_000;
+const STATUS: Readonly<Record<LookupError["kind"], number>> = {
+    "service-missing": 400,
+    "service-unknown": 404,
+    "nothing-known": 503,
+};
+
+/**
+ * Starts the look-up process.
+ *
+ * @param cfg - settings of the instance
+ * @param log - the log
+ * @returns the function that stops it
+ */
+export const startLookup = async (cfg: InstanceSettings, log: Log): Promise<() => Promise<void>> => {
+    const store = createStore(EMPTY_VIEW, updateView);
+    const rpc = createRpcClient(RPC_TIMEOUT_MS);
+    const registry = new Registry();
+    collectDefaultMetrics({ register: registry });
+    const lookups = new Counter({
+        name: "gypsumstage_lookups_total",
+        help: "Look-ups by result",
+        labelNames: ["result"],
+        registers: [registry],
+    });
+    const sync = registerViewSync({
+        role: "lookup",
+        steerAddress: cfg.listen.steer ?? cfg.steer.address,
+        rpc,
+        store,
+        readStatus: () => undefined,
+        log,
+    });
+    const { app, listen } = createApp(cfg.listen.lookup ?? cfg.lookup.address);
+    registerMetrics(app, registry);
+    app.get("/v1/lookup", async (req, reply) => {
+        const { service } = req.query as { readonly service?: string; };
+        const viewAtMs = sync.syncedAtMs() ?? monotonicNow();
+        const answer = answerLookup(
+            { view: store.get(), self: cfg.instance, viewAtMs, random: Math.random },
+            service,
+        );
+        if (!answer.ok) {
+            lookups.inc({ result: answer.error.kind });
+            return reply.code(STATUS[answer.error.kind]).send({ error: answer.error });
+        }
+        lookups.inc({ result: "answered" });
+        return reply.header("cache-control", `max-age=${answer.value.ttlSeconds}`).send(answer.value);
+    });
+    await listen();
+    return async () => {
+        sync.stop();
+        await app.close();
+        await rpc.close();
+    };
+};
--- /dev/null
+++ b/packages/gypsumstage-platform/src/Platform.ts
@@ -0,0 +1,31 @@
+import type { Member } from "@gypsumstage/domain/Member";
+import type { Result } from "@gypsumstage/shared/Result";
+import type { PlatformError } from "./PlatformError.js";
+import type { VersionedObject } from "./VersionedObject.js";
+import type { WriteCondition } from "./WriteCondition.js";
+
+/** Port to the platform: versioned objects, and the lagging list of members. */
+export interface Platform {
+    /** Reads an object; undefined when there is none. */
+    readonly read: (key: string) => Promise<Result<VersionedObject | undefined, PlatformError>>;
+    /** Writes an object when the condition holds; returns its new version. */
+    readonly write: (
+        key: string,
+        value: unknown,
+        condition: WriteCondition,
+    ) => Promise<Result<number, PlatformError>>;
+    /** Waits until the object's version differs from the given one; undefined when the time ran out. */
+    readonly watch: (
+        key: string,
+        version: number,
+        waitMs: number,
+    ) => Promise<Result<VersionedObject | undefined, PlatformError>>;
+    /** Lists objects by prefix. */
+    readonly list: (prefix: string) => Promise<Result<readonly VersionedObject[], PlatformError>>;
+    /** Removes an object when it still has the given version. */
+    readonly remove: (key: string, version: number) => Promise<Result<undefined, PlatformError>>;
+    /** Reads the list of instances and upstreams. */
+    readonly readMembers: () => Promise<Result<readonly Member[], PlatformError>>;
+    /** Closes the connections. */
+    readonly close: () => Promise<void>;
+}
--- /dev/null
+++ b/packages/gypsumstage-shared/src/createRpcClient.ts
@@ -0,0 +1,72 @@
+import {
+    createJSONRPCErrorResponse,
+    JSONRPCClient,
+    type JSONRPCErrorResponse,
+    type JSONRPCID,
+    type JSONRPCRequest,
+    type JSONRPCResponse,
+} from "json-rpc-2.0";
+import { Agent, request } from "undici";
+import { describeError } from "./describeError.js";
+import { failure } from "./failure.js";
+import type { Result } from "./Result.js";
+import type { RpcClient } from "./RpcClient.js";
+import type { RpcError } from "./RpcError.js";
+import { success } from "./success.js";
+
+const IDLE_CONNECTION_MS = 3_000;
+const TRANSPORT_FAILED = -32_000;
+
+/**
+ * Creates a client for the JSON-RPC methods of other processes of the system.
+ *
+ * @param timeoutMs - limit for connecting and for each answer, in milliseconds
+ * @param sourceAddress - IP address that connections come from; undefined leaves it to the system
+ * @returns the client
+ */
+export const createRpcClient = (timeoutMs: number, sourceAddress?: string): RpcClient => {
+    const agent = new Agent({
+        connect: {
+            timeout: timeoutMs,
+            ...(sourceAddress === undefined ? {} : { localAddress: sourceAddress }),
+        },
+        headersTimeout: timeoutMs,
+        bodyTimeout: timeoutMs,
+        keepAliveTimeout: IDLE_CONNECTION_MS,
+        connections: 2,
+    });
+    const clients = new Map<string, JSONRPCClient>();
+    const createClient = (address: string): JSONRPCClient => {
+        const client: JSONRPCClient = new JSONRPCClient(async (req: JSONRPCRequest) => {
+            const res = await request(`http://${address}/rpc`, {
+                dispatcher: agent,
+                method: "POST",
+                headers: { "content-type": "application/json" },
+                body: JSON.stringify(req),
+                signal: AbortSignal.timeout(timeoutMs),
+            });
+            client.receive(await res.body.json() as JSONRPCResponse);
+        });
+        clients.set(address, client);
+        return client;
+    };
+    const call = async <Answer>(
+        address: string,
+        method: string,
+        params: unknown,
+    ): Promise<Result<Answer, RpcError>> => {
+        const client = clients.get(address) ?? createClient(address);
+        try {
+            const fallback = (id: JSONRPCID): JSONRPCErrorResponse =>
+                createJSONRPCErrorResponse(id, TRANSPORT_FAILED, "no answer in time");
+            return success(await client.timeout(timeoutMs, fallback).request(method, params) as Answer);
+        }
+        catch (err) {
+            const kind = err instanceof Error && err.name === "JSONRPCErrorException"
+                ? "rpc-refused"
+                : "rpc-unreachable";
+            return failure({ kind, address, reason: describeError(err) });
+        }
+    };
+    return { call, close: () => agent.destroy() };
+};
--- /dev/null
+++ b/packages/gypsumstage-shared/src/createStore.ts
@@ -0,0 +1,35 @@
+import type { Store } from "./Store.js";
+
+/**
+ * Creates a store: the only way to change its state is an event handled by the update function.
+ *
+ * @param initial - the first state
+ * @param update - returns the next state; the same reference means that nothing changed
+ * @returns the store
+ */
+export const createStore = <State, Event>(
+    initial: State,
+    update: (state: State, event: Event) => State,
+): Store<State, Event> => {
+    let state = initial;
+    const listeners = new Set<(state: State, previous: State) => void>();
+    return {
+        get: () => state,
+        dispatch: event => {
+            const previous = state;
+            state = update(previous, event);
+            if (state === previous) {
+                return;
+            }
+            for (const listener of listeners) {
+                listener(state, previous);
+            }
+        },
+        registerListener: listener => {
+            listeners.add(listener);
+            return () => {
+                listeners.delete(listener);
+            };
+        },
+    };
+};
--- /dev/null
+++ b/packages/gypsumstage-standins/src/demo/main.ts
@@ -0,0 +1,86 @@
+import { describeError } from "@gypsumstage/shared/describeError";
+import { invariant } from "@gypsumstage/shared/invariant";
+import { cac } from "cac";
+import { applyAndWait } from "../deployment/applyAndWait.js";
+import { createBoardPair } from "../deployment/createBoardPair.js";
+import type { Deployment } from "../deployment/Deployment.js";
+import { startDeployment } from "../deployment/startDeployment.js";
+import { runOnce } from "./runOnce.js";
+import { waitUntilServing } from "./waitUntilServing.js";
+
+const NETWORK = 30;
+const FORCE_TIMEOUT_SECONDS = 20;
+
+const say = (line: string): void => {
+    process.stderr.write(`${line}\n`);
+};
+
+const describeAddresses = (deployment: Deployment): string => {
+    const [first] = deployment.instances;
+    invariant(first, "process-failed");
+    const rows = deployment.instances.map(each =>
+        `  ${each.name}: look-up ${each.lookup}, entry ${each.entry}, administration ${each.steer}, metrics ${each.metrics}`
+    );
+    return [
+        "gypsumstage is up: the Board's regions kutch and bharuch with two data centres each.",
+        ...rows,
+        "",
+        "Try:",
+        `  curl 'http://${first.lookup}/v1/lookup?service=berth-desk'`,
+        `  curl -i http://${first.entry}/berths/7`,
+        `  curl http://${first.metrics}/metrics`,
+        `  curl http://${first.steer}/v1/status`,
+        `  node packages/gypsumstage-ctl/dist/main.js status --admin ${first.steer}`,
+        `  node packages/gypsumstage-ctl/dist/main.js explain GET /berths/7 --admin ${first.steer}`,
+        "",
+        "Ctrl-C ends it.",
+    ].join("\n");
+};
+
+const start = async (): Promise<Deployment> => {
+    const plan = createBoardPair(NETWORK, false);
+    const deployment = await startDeployment(plan);
+    const [first] = deployment.instances;
+    invariant(first, "process-failed");
+    const accepted = await applyAndWait(first.steer, plan.intent, FORCE_TIMEOUT_SECONDS);
+    const isServing = accepted !== undefined && await waitUntilServing(deployment);
+    if (!isServing) {
+        await deployment.stop();
+    }
+    invariant(isServing, "process-failed");
+    return deployment;
+};
+
+const main = async (isOnce: boolean): Promise<void> => {
+    const deployment = await start();
+    if (isOnce) {
+        try {
+            process.stdout.write(`${JSON.stringify(await runOnce(deployment))}\n`);
+        }
+        finally {
+            await deployment.stop();
+        }
+        return;
+    }
+    say(describeAddresses(deployment));
+    const stop = (): void => {
+        void deployment.stop().then(() => process.exit(0));
+    };
+    process.once("SIGINT", stop);
+    process.once("SIGTERM", stop);
+};
+
+const cli = cac("gypsumstage-demo");
+cli.option("--once", "walk once through the system, print one JSON line and exit");
+cli.help();
+const { options } = cli.parse();
+if (options["help"] !== true) {
+    main(options["once"] === true).then(() => {
+        if (options["once"] === true) {
+            process.exit(0);
+        }
+    }, (err: unknown) => {
+        say(`the demonstration failed: ${describeError(err)}`);
+        process.exit(1);
+    });
+}
--- /dev/null
+++ b/packages/gypsumstage-standins/src/demo/runOnce.ts
@@ -0,0 +1,90 @@
+import type { SystemStatus } from "@gypsumstage/domain/SystemStatus";
+import { invariant } from "@gypsumstage/shared/invariant";
+import { execFile } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { promisify } from "node:util";
+import type { CallerResult } from "../caller/CallerResult.js";
+import { createCaller } from "../caller/createCaller.js";
+import type { Deployment } from "../deployment/Deployment.js";
+
+const FORCE_TIMEOUT_SECONDS = 15;
+
+const runCtl = async (args: readonly string[]): Promise<string> => {
+    const main = fileURLToPath(import.meta.resolve("@gypsumstage/ctl/main"));
+    const { stdout } = await promisify(execFile)(process.execPath, [main, ...args]);
+    return stdout;
+};
+
+const changeTarget = async (admin: string): Promise<unknown> => {
+    const folder = mkdtempSync(join(tmpdir(), "gypsumstage-intent-"));
+    try {
+        const file = join(folder, "intent.ini");
+        const intent = await runCtl(["get", "--admin", admin]);
+        writeFileSync(file, intent.replace("latencyTarget = 150ms", "latencyTarget = 140ms"));
+        await runCtl(["apply", file, "--admin", admin]);
+        const status = await runCtl([
+            "status",
+            "--wait",
+            String(FORCE_TIMEOUT_SECONDS),
+            "--json",
+            "--admin",
+            admin,
+        ]);
+        return JSON.parse(status);
+    }
+    finally {
+        rmSync(folder, { recursive: true });
+    }
+};
+
+/**
+ * Walks once through the demonstration: a look-up, a slot check, a keyed confirmation and a changed target.
+ *
+ * @param deployment - the running deployment
+ * @returns what came back of each step
+ */
+export const runOnce = async (deployment: Deployment): Promise<Readonly<Record<string, unknown>>> => {
+    const [first] = deployment.instances;
+    invariant(first, "process-failed");
+    const caller = createCaller(deployment.instances.map(instance => instance.lookup));
+    try {
+        const lookup = await caller.lookup("berth-desk");
+        const slotCheck = await caller.send({
+            service: "berth-desk",
+            method: "GET",
+            path: "/berths/7",
+            id: "demo-1",
+            maxTries: 5,
+        });
+        const confirmation = await caller.send({
+            service: "booking-ledger",
+            method: "POST",
+            path: "/confirmations",
+            id: "demo-2",
+            isKeyed: true,
+            body: JSON.stringify({ barge: "GJ-1204", berth: 7 }),
+            maxTries: 5,
+        });
+        const status = await changeTarget(first.steer) as SystemStatus;
+        const describe = ({ outcome, status: code, body }: CallerResult): unknown => ({
+            outcome,
+            status: code,
+            body: JSON.parse(body) as unknown,
+        });
+        const isWhole = slotCheck.outcome === "served" && confirmation.outcome === "served"
+            && status.verdict === "in-force";
+        invariant(isWhole, "process-failed");
+        return {
+            lookup,
+            slotCheck: describe(slotCheck),
+            confirmation: describe(confirmation),
+            inForce: { generation: status.accepted, verdict: status.verdict },
+        };
+    }
+    finally {
+        await caller.stop();
+    }
+};
--- /dev/null
+++ b/packages/gypsumstage-standins/src/deployment/PlannedInstance.ts
@@ -0,0 +1,13 @@
+/** One instance of a deployment with its addresses. */
+export interface PlannedInstance {
+    readonly name: string;
+    readonly launch: string;
+    readonly dataCentre: string;
+    readonly region: string;
+    readonly host: string;
+    readonly entry: string;
+    readonly peer: string;
+    readonly metrics: string;
+    readonly lookup: string;
+    readonly steer: string;
+}
--- /dev/null
+++ b/packages/gypsumstage-standins/src/deployment/RoleName.ts
@@ -0,0 +1,2 @@
+/** Names of the roles that an instance runs. */
+export type RoleName = "entry" | "lookup" | "steer";
--- /dev/null
+++ b/packages/gypsumstage-standins/src/deployment/formatSettings.ts
@@ -0,0 +1,42 @@
+import { writeSections } from "@gypsumstage/domain/writeSections";
+import { behindProxy } from "./behindProxy.js";
+import type { PlannedInstance } from "./PlannedInstance.js";
+
+/**
+ * Writes the settings file of an instance.
+ *
+ * @param instance - the instance
+ * @param platform - address of the platform
+ * @param peers - addresses of other steer processes
+ * @param isProxied - whether the roles listen behind a proxy
+ * @returns the INI text
+ */
+export const formatSettings = (
+    instance: PlannedInstance,
+    platform: string,
+    peers: readonly string[],
+    isProxied: boolean,
+): string => {
+    const listen = {
+        entry: behindProxy(instance.entry),
+        peer: behindProxy(instance.peer),
+        lookup: behindProxy(instance.lookup),
+        steer: behindProxy(instance.steer),
+    };
+    return writeSections({
+        instance: {
+            name: instance.name,
+            launch: instance.launch,
+            dataCentre: instance.dataCentre,
+            region: instance.region,
+            ...(isProxied ? { sourceAddress: instance.host } : {}),
+        },
+        entry: { address: instance.entry, peer: instance.peer, metrics: instance.metrics },
+        lookup: { address: instance.lookup },
+        steer: { address: instance.steer },
+        ...(isProxied ? { listen } : {}),
+        platform: { address: platform },
+        peers: { steer: peers.join(", ") },
+        log: { level: process.env["GYPSUMSTAGE_LOG"] ?? "warn" },
+    });
+};
--- /dev/null
+++ b/packages/gypsumstage-standins/src/deployment/startRole.ts
@@ -0,0 +1,24 @@
+import { spawn } from "node:child_process";
+import { fileURLToPath } from "node:url";
+import type { PlannedInstance } from "./PlannedInstance.js";
+import type { RoleName } from "./RoleName.js";
+import type { RoleProcess } from "./RoleProcess.js";
+
+/**
+ * Starts a role as a process.
+ *
+ * @param instance - the instance
+ * @param role - the role
+ * @param settingsFile - path of the instance's settings
+ * @returns the running process
+ */
+export const startRole = (instance: PlannedInstance, role: RoleName, settingsFile: string): RoleProcess => {
+    const main = fileURLToPath(import.meta.resolve(`@gypsumstage/${role}/main`));
+    const child = spawn(process.execPath, [main, "--config", settingsFile], {
+        stdio: ["ignore", "inherit", "inherit"],
+    });
+    const ended = new Promise<number | string>(resolve => {
+        child.once("exit", (code, signal) => resolve(code ?? signal ?? "unknown"));
+    });
+    return { instance, role, child, ended };
+};
--- /dev/null
+++ b/packages/gypsumstage-standins/src/upstream/UpstreamStandin.ts
@@ -0,0 +1,11 @@
+import type { UpstreamBehaviour } from "./UpstreamBehaviour.js";
+import type { UpstreamRecord } from "./UpstreamRecord.js";
+
+/** A running stand-in endpoint. */
+export interface UpstreamStandin {
+    readonly name: string;
+    readonly address: string;
+    readonly set: (behaviour: Partial<UpstreamBehaviour>) => void;
+    readonly record: () => UpstreamRecord;
+    readonly stop: () => Promise<void>;
+}
--- /dev/null
+++ b/packages/gypsumstage-steer/src/SteerContext.ts
@@ -0,0 +1,20 @@
+import type { SteeringView } from "@gypsumstage/domain/SteeringView";
+import type { Platform } from "@gypsumstage/platform/Platform";
+import type { InstanceSettings } from "@gypsumstage/shared/InstanceSettings";
+import type { Log } from "@gypsumstage/shared/Log";
+import type { RpcClient } from "@gypsumstage/shared/RpcClient";
+import type { Store } from "@gypsumstage/shared/Store";
+import type { ViewEvent } from "@gypsumstage/steering/ViewEvent";
+import type { HeadKnowledge } from "./HeadKnowledge.js";
+import type { LocalRoles } from "./LocalRoles.js";
+
+/** What every task of the steer process works with. */
+export interface SteerContext {
+    readonly cfg: InstanceSettings;
+    readonly log: Log;
+    readonly platform: Platform;
+    readonly rpc: RpcClient;
+    readonly store: Store<SteeringView, ViewEvent>;
+    readonly local: LocalRoles;
+    readonly head: HeadKnowledge;
+}
--- /dev/null
+++ b/packages/gypsumstage-steer/src/createHeadKnowledge.ts
@@ -0,0 +1,19 @@
+import type { HeadKnowledge } from "./HeadKnowledge.js";
+
+/**
+ * Creates the memory of the last reading of the head.
+ *
+ * @returns the memory, empty
+ */
+export const createHeadKnowledge = (): HeadKnowledge => {
+    let readAt: number | undefined;
+    let last = 0;
+    return {
+        readAtMs: () => readAt,
+        generation: () => last,
+        note: (generation, readAtMs) => {
+            readAt = readAtMs;
+            last = generation;
+        },
+    };
+};
--- /dev/null
+++ b/packages/gypsumstage-steer/src/describeStatus.ts
@@ -0,0 +1,33 @@
+import type { SystemStatus } from "@gypsumstage/domain/SystemStatus";
+import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import { combineVerdicts } from "@gypsumstage/steering/combineVerdicts";
+import { judgeForce } from "@gypsumstage/steering/judgeForce";
+import { summarizeDrain } from "@gypsumstage/steering/summarizeDrain";
+import type { SteerContext } from "./SteerContext.js";
+
+/**
+ * Tells by data centre whether the intent is in force, as far as this instance knows.
+ *
+ * @param context - the process
+ * @returns the status
+ */
+export const describeStatus = ({ store, head }: SteerContext): SystemStatus => {
+    const view = store.get();
+    const nowMs = monotonicNow();
+    const readAtMs = head.readAtMs();
+    const accepted = Math.max(head.generation(), view.configuration?.generation ?? 0);
+    const intent = view.configuration?.intent;
+    const dataCentres = Object.entries(intent?.dataCentres ?? {}).map(([name, region]) => {
+        const places = Object.entries(intent?.places ?? {}).filter(([, dataCentre]) => dataCentre === name);
+        const instances = places.map(([place]) => judgeForce(place, accepted, view, nowMs));
+        return { name, region, instances, verdict: combineVerdicts(instances.map(each => each.verdict)) };
+    });
+    return {
+        accepted,
+        acceptedReadAgoMs: readAtMs === undefined ? undefined : Math.round(nowMs - readAtMs),
+        verdict: combineVerdicts(dataCentres.map(each => each.verdict)),
+        dataCentres,
+        drains: (view.configuration?.drains ?? []).map(drain => summarizeDrain(drain, view, nowMs)),
+        moves: view.configuration?.moves ?? [],
+    };
+};
--- /dev/null
+++ b/packages/gypsumstage-steer/src/explainRoute.ts
@@ -0,0 +1,73 @@
+import type { HeardRecord } from "@gypsumstage/domain/HeardRecord";
+import type { SteeringView } from "@gypsumstage/domain/SteeringView";
+import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import { classify } from "@gypsumstage/steering/classify";
+import { HEARD_RECENTLY_MS } from "@gypsumstage/steering/HEARD_RECENTLY_MS";
+import { isDrained } from "@gypsumstage/steering/isDrained";
+import type { RouteCandidate } from "./RouteCandidate.js";
+import type { RouteExplanation } from "./RouteExplanation.js";
+import type { SteerContext } from "./SteerContext.js";
+
+const describeCandidate = (
+    record: HeardRecord,
+    service: string,
+    view: SteeringView,
+    nowMs: number,
+): RouteCandidate => {
+    const heardAgoMs = Math.round(nowMs - record.heardAtMs);
+    const freeSlots = record.entry?.freeSlots[service] ?? 0;
+    const drained = view.configuration !== undefined && isDrained(view.configuration, record.dataCentre);
+    const note = record.entry === undefined || heardAgoMs >= HEARD_RECENTLY_MS
+        ? "not heard of recently"
+        : record.entry.isLeaving
+        ? "leaving"
+        : drained
+        ? "drained"
+        : freeSlots === 0
+        ? "no free slot"
+        : "usable";
+    return {
+        instance: record.name,
+        dataCentre: record.dataCentre,
+        region: record.region,
+        freeSlots,
+        heardAgoMs,
+        note,
+    };
+};
+
+/**
+ * Explains where requests of a route go.
+ *
+ * @param context - the process
+ * @param method - the HTTP method
+ * @param path - the path
+ * @returns the class and the candidates
+ */
+export const explainRoute = (
+    { store, cfg }: SteerContext,
+    method: string,
+    path: string,
+): RouteExplanation => {
+    const view = store.get();
+    const nowMs = monotonicNow();
+    const route = `${method} ${path}`;
+    const cls = view.configuration === undefined
+        ? undefined
+        : classify(view.configuration.intent, method, path);
+    if (cls === undefined) {
+        const reason = view.configuration === undefined
+            ? "no configuration is known here"
+            : "no class is declared for this route";
+        return { route, class: undefined, service: undefined, reason, candidates: [] };
+    }
+    const distance = (each: RouteCandidate): number =>
+        each.dataCentre === cfg.instance.dataCentre ? 0 : each.region === cfg.instance.region ? 1 : 2;
+    const candidates = view.records
+        .map(record => describeCandidate(record, cls.service, view, nowMs))
+        .sort((left, right) => distance(left) - distance(right) || right.freeSlots - left.freeSlots);
+    const reason =
+        `class ${cls.name}: ${cls.length}, ${cls.isIdempotent ? "idempotent" : "runs at most once"}; `
+        + `own data centre first, then own region, then the region with free slots`;
+    return { route, class: cls.name, service: cls.service, reason, candidates };
+};
--- /dev/null
+++ b/packages/gypsumstage-steer/src/partKey.ts
@@ -0,0 +1,7 @@
+/**
+ * Names the immutable object that holds one configuration.
+ *
+ * @param digest - SHA-256 of its JSON text
+ * @returns its key in the platform
+ */
+export const partKey = (digest: string): string => `config/parts/${digest}`;
--- /dev/null
+++ b/packages/gypsumstage-steer/src/registerSteerMetrics.ts
@@ -0,0 +1,58 @@
+import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import { registerMetrics } from "@gypsumstage/shared/registerMetrics";
+import { HEARD_RECENTLY_MS } from "@gypsumstage/steering/HEARD_RECENTLY_MS";
+import type { FastifyInstance } from "fastify";
+import { collectDefaultMetrics, Gauge, Registry } from "prom-client";
+import type { SteerContext } from "./SteerContext.js";
+
+const MS_PER_SECOND = 1_000;
+
+/**
+ * Registers the metrics of the steer process: generation in force, age of each view, instances heard of.
+ *
+ * @param app - the HTTP server
+ * @param context - the process
+ */
+export const registerSteerMetrics = (app: FastifyInstance, context: SteerContext): void => {
+    const registry = new Registry();
+    collectDefaultMetrics({ register: registry });
+    const addGauge = (name: string, help: string, read: () => number): void => {
+        const gauge: Gauge = new Gauge({
+            name,
+            help,
+            registers: [registry],
+            collect: () => gauge.set(read()),
+        });
+    };
+    const ageOf = (atMs: number | undefined): number =>
+        atMs === undefined ? Infinity : (monotonicNow() - atMs) / MS_PER_SECOND;
+    addGauge(
+        "gypsumstage_generation",
+        "Generation of the configuration held",
+        () => context.store.get().configuration?.generation ?? 0,
+    );
+    addGauge(
+        "gypsumstage_head_age_seconds",
+        "Time since the accepted configuration was read from the platform",
+        () => ageOf(context.head.readAtMs()),
+    );
+    addGauge(
+        "gypsumstage_members_age_seconds",
+        "Time since the platform's list was read",
+        () => ageOf(context.store.get().membersReadAtMs),
+    );
+    addGauge(
+        "gypsumstage_plan_age_seconds",
+        "Time since the budget plan was confirmed",
+        () => ageOf(context.store.get().planConfirmedAtMs),
+    );
+    addGauge(
+        "gypsumstage_instances_heard",
+        "Instances heard of recently",
+        () =>
+            context.store.get().records.filter(record =>
+                monotonicNow() - record.heardAtMs < HEARD_RECENTLY_MS
+            ).length,
+    );
+    registerMetrics(app, registry);
+};
--- /dev/null
+++ b/packages/gypsumstage-steer/src/startDrain.ts
@@ -0,0 +1,37 @@
+import type { Drain } from "@gypsumstage/domain/Drain";
+import type { SteeringView } from "@gypsumstage/domain/SteeringView";
+import { failure } from "@gypsumstage/shared/failure";
+import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import { success } from "@gypsumstage/shared/success";
+import { findShortfalls } from "@gypsumstage/steering/findShortfalls";
+import type { ConfigurationChange } from "./ConfigurationChange.js";
+import { createDrainScope } from "./createDrainScope.js";
+import { isKnownScope } from "./isKnownScope.js";
+
+/**
+ * Makes the change that starts a drain, after checking that the rest can carry the work.
+ *
+ * @param drain - what to drain
+ * @param view - what the process knows
+ * @param isForced - whether a shortfall is accepted
+ * @returns the change
+ */
+export const startDrain =
+    (drain: Drain, view: SteeringView, isForced: boolean): ConfigurationChange => async current => {
+        if (current === undefined) {
+            return failure({ kind: "not-found", what: "a configuration" });
+        }
+        if (current.drains.some(each => each.scope === drain.scope && each.name === drain.name)) {
+            return failure({ kind: "already-exists", what: `drain of ${drain.scope} ${drain.name}` });
+        }
+        if (!isKnownScope(drain, current, view)) {
+            return failure({ kind: "not-found", what: `${drain.scope} ${drain.name}` });
+        }
+        const shortfalls = findShortfalls(createDrainScope(drain), view, monotonicNow());
+        if (shortfalls.length > 0 && !isForced) {
+            return failure({ kind: "shortfall", shortfalls });
+        }
+        const { generation, ...rest } = current;
+        void generation;
+        return success({ ...rest, drains: [...current.drains, drain] });
+    };
--- /dev/null
+++ b/packages/gypsumstage-steer/src/startMove.ts
@@ -0,0 +1,25 @@
+import type { Move } from "@gypsumstage/domain/Move";
+import { failure } from "@gypsumstage/shared/failure";
+import { success } from "@gypsumstage/shared/success";
+import type { ConfigurationChange } from "./ConfigurationChange.js";
+
+/**
+ * Makes the change that starts a move of a part of a service's work to another region.
+ *
+ * @param move - the move
+ * @returns the change
+ */
+export const startMove = (move: Move): ConfigurationChange => async current => {
+    const regions = Object.values(current?.intent.dataCentres ?? {});
+    if (current === undefined || !current.intent.services.includes(move.service)) {
+        return failure({ kind: "not-found", what: `service ${move.service}` });
+    }
+    const unknown = [move.from, move.to].find(region => !regions.includes(region));
+    if (unknown !== undefined) {
+        return failure({ kind: "not-found", what: `region ${unknown}` });
+    }
+    if (current.moves.some(each => each.service === move.service && each.from === move.from)) {
+        return failure({ kind: "already-exists", what: `move of ${move.service} from ${move.from}` });
+    }
+    return success({ intent: current.intent, drains: current.drains, moves: [...current.moves, move] });
+};
--- /dev/null
+++ b/packages/gypsumstage-steer/src/startSteer.ts
@@ -0,0 +1,67 @@
+import type { ExchangeRequest } from "@gypsumstage/domain/ExchangeRequest";
+import type { ViewSyncRequest } from "@gypsumstage/domain/ViewSyncRequest";
+import { createHttpPlatform } from "@gypsumstage/platform/createHttpPlatform";
+import { createApp } from "@gypsumstage/shared/createApp";
+import { createRpcClient } from "@gypsumstage/shared/createRpcClient";
+import { createStore } from "@gypsumstage/shared/createStore";
+import type { InstanceSettings } from "@gypsumstage/shared/InstanceSettings";
+import type { Log } from "@gypsumstage/shared/Log";
+import { registerRpc } from "@gypsumstage/shared/registerRpc";
+import { EMPTY_VIEW } from "@gypsumstage/steering/EMPTY_VIEW";
+import { updateView } from "@gypsumstage/steering/updateView";
+import { answerExchange } from "./answerExchange.js";
+import { answerViewSync } from "./answerViewSync.js";
+import { createHeadKnowledge } from "./createHeadKnowledge.js";
+import { createLocalRoles } from "./createLocalRoles.js";
+import { createMembersVersion } from "./createMembersVersion.js";
+import { registerAdminRoutes } from "./registerAdminRoutes.js";
+import { registerBudgetPlan } from "./registerBudgetPlan.js";
+import { registerExchange } from "./registerExchange.js";
+import { registerHeadWatch } from "./registerHeadWatch.js";
+import { registerMembersReads } from "./registerMembersReads.js";
+import { registerSteerMetrics } from "./registerSteerMetrics.js";
+import type { SteerContext } from "./SteerContext.js";
+
+const RPC_TIMEOUT_MS = 1_500;
+
+/**
+ * Starts the steer process: its tasks, the administration API and the RPC of the other roles.
+ *
+ * @param cfg - settings of the instance
+ * @param log - the log
+ * @returns the function that stops it
+ */
+export const startSteer = async (cfg: InstanceSettings, log: Log): Promise<() => Promise<void>> => {
+    const store = createStore(EMPTY_VIEW, updateView);
+    const context: SteerContext = {
+        cfg,
+        log,
+        store,
+        platform: createHttpPlatform(cfg.platform.address, cfg.instance.sourceAddress),
+        rpc: createRpcClient(RPC_TIMEOUT_MS, cfg.instance.sourceAddress),
+        local: createLocalRoles(),
+        head: createHeadKnowledge(),
+    };
+    const versions = createMembersVersion(store);
+    const { app, listen } = createApp(cfg.listen.steer ?? cfg.steer.address);
+    registerRpc(app, {
+        "view.sync": params => answerViewSync(context, params as ViewSyncRequest, versions.get()),
+        "exchange.pull": params => answerExchange(context, params as ExchangeRequest),
+    });
+    registerAdminRoutes(app, context);
+    registerSteerMetrics(app, context);
+    await listen();
+    const teardowns = [
+        registerHeadWatch(context),
+        registerMembersReads(context),
+        registerBudgetPlan(context),
+        registerExchange(context),
+        versions.stop,
+    ];
+    return async () => {
+        teardowns.forEach(teardown => teardown());
+        await app.close();
+        await context.rpc.close();
+        await context.platform.close();
+    };
+};
--- /dev/null
+++ b/packages/gypsumstage-steering/src/PeerRequest.ts
@@ -0,0 +1,13 @@
+import type { SteeringView } from "@gypsumstage/domain/SteeringView";
+
+/** What decides where a request goes that its own data centre cannot take. */
+export interface PeerRequest {
+    readonly view: SteeringView;
+    readonly service: string;
+    readonly self: { readonly name: string; readonly dataCentre: string; readonly region: string; };
+    /** Region that shall be preferred, when a move is in force for this request. */
+    readonly preferredRegion: string | undefined;
+    readonly tried: ReadonlySet<string>;
+    readonly nowMs: number;
+    readonly random: () => number;
+}
--- /dev/null
+++ b/packages/gypsumstage-steering/src/ViewEvent.ts
@@ -0,0 +1,12 @@
+import type { BudgetPlan } from "@gypsumstage/domain/BudgetPlan";
+import type { Configuration } from "@gypsumstage/domain/Configuration";
+import type { HeardRecord } from "@gypsumstage/domain/HeardRecord";
+import type { Member } from "@gypsumstage/domain/Member";
+
+/** What changes a view. Times are on the monotonic clock of the process that holds it. */
+export type ViewEvent =
+    | { readonly kind: "configuration-seen"; readonly configuration: Configuration; }
+    | { readonly kind: "members-read"; readonly members: readonly Member[]; readonly readAtMs: number; }
+    | { readonly kind: "members-confirmed"; readonly readAtMs: number; }
+    | { readonly kind: "records-heard"; readonly records: readonly HeardRecord[]; readonly nowMs: number; }
+    | { readonly kind: "plan-read"; readonly plan: BudgetPlan; readonly readAtMs: number; };
--- /dev/null
+++ b/packages/gypsumstage-steering/src/hashText.ts
@@ -0,0 +1,11 @@
+import xxhash from "xxhash-wasm";
+
+const hasher = await xxhash();
+
+/**
+ * Hashes a short text to 32 bits; every process gives the same value.
+ *
+ * @param text - the text
+ * @returns an unsigned 32-bit number
+ */
+export const hashText = (text: string): number => hasher.h32(text);
--- /dev/null
+++ b/packages/gypsumstage-steering/src/listWatchers.ts
@@ -0,0 +1,28 @@
+import type { SteeringView } from "@gypsumstage/domain/SteeringView";
+import { HEARD_RECENTLY_MS } from "./HEARD_RECENTLY_MS.js";
+import { rendezvous } from "./rendezvous.js";
+
+const WATCHERS_PER_DATA_CENTRE = 2;
+
+/**
+ * Chooses the instances that read the platform for their data centre; the others hear from them. There is no
+ * election: processes whose views differ choose differently for a while, and a duplicate does no harm.
+ *
+ * @param view - what the asking process knows
+ * @param self - the asking instance, always counted as alive
+ * @param nowMs - the monotonic time
+ * @returns names of the instances that read
+ */
+export const listWatchers = (
+    view: SteeringView,
+    self: { readonly name: string; readonly dataCentre: string; },
+    nowMs: number,
+): readonly string[] => {
+    const heard = view.records
+        .filter(record =>
+            record.dataCentre === self.dataCentre && nowMs - record.heardAtMs < HEARD_RECENTLY_MS
+        )
+        .map(record => record.name);
+    const names = [...new Set([self.name, ...heard])];
+    return rendezvous(`watch/${self.dataCentre}`, names).slice(0, WATCHERS_PER_DATA_CENTRE);
+};
--- /dev/null
+++ b/packages/gypsumstage-steering/src/summarizeDrain.ts
@@ -0,0 +1,40 @@
+import type { Drain } from "@gypsumstage/domain/Drain";
+import type { DrainStatus } from "@gypsumstage/domain/DrainStatus";
+import type { HeardRecord } from "@gypsumstage/domain/HeardRecord";
+import type { SteeringView } from "@gypsumstage/domain/SteeringView";
+import { HEARD_RECENTLY_MS } from "./HEARD_RECENTLY_MS.js";
+
+const isInScope = (record: HeardRecord, drain: Drain, view: SteeringView): boolean => {
+    if (drain.scope === "region") {
+        return record.region === drain.name;
+    }
+    if (drain.scope === "dataCentre") {
+        return record.dataCentre === drain.name;
+    }
+    return view.members.some(member => member.name === drain.name && member.dataCentre === record.dataCentre);
+};
+
+/**
+ * Tells how far a drain has come.
+ *
+ * @param drain - the drain
+ * @param view - what the asking process knows
+ * @param nowMs - the monotonic time
+ * @returns the progress; a drain is drained only when every instance in its scope was heard of
+ */
+export const summarizeDrain = (drain: Drain, view: SteeringView, nowMs: number): DrainStatus => {
+    const inScope = view.records.filter(record => isInScope(record, drain, view));
+    const heard = inScope.filter(record =>
+        nowMs - record.heardAtMs < HEARD_RECENTLY_MS && record.entry !== undefined
+    );
+    const unheard = inScope.filter(record => !heard.includes(record)).map(record => record.name);
+    const countOf = (record: HeardRecord): number =>
+        drain.scope === "endpoint"
+            ? record.entry?.drainedInFlight[drain.name] ?? 0
+            : Object.values(record.entry?.inFlight ?? {}).reduce((sum, count) => sum + count, 0);
+    const inFlight = heard.reduce((sum, record) => sum + countOf(record), 0);
+    const hasAdopted = heard.every(record => record.generation >= (view.configuration?.generation ?? 0));
+    const isDone = inFlight === 0 && hasAdopted && heard.length > 0;
+    const state = unheard.length > 0 ? "unknown" : isDone ? "drained" : "draining";
+    return { ...drain, inFlight, unheard, state };
+};
