--- /dev/null
+++ b/packages/gypsumstage-shared/src/__tests__/unit/loadSettings.test.ts
@@ -0,0 +1,61 @@
+import assert from "node:assert/strict";
+import { mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, test } from "node:test";
+import { fileURLToPath } from "node:url";
+import { instanceSettingsSchema } from "../../instanceSettingsSchema.js";
+import { loadSettings } from "../../loadSettings.js";
+
+const examples = fileURLToPath(new URL("../../../../../examples/", import.meta.url));
+const folder = mkdtempSync(join(tmpdir(), "gypsumstage-settings-"));
+after(() => rmSync(folder, { recursive: true }));
+
+const sample = readFileSync(join(examples, "board/kutch-a-1.ini"), "utf8");
+
+const problemsOf = (text: string): readonly string[] => {
+    const file = join(folder, "instance.ini");
+    writeFileSync(file, text);
+    const res = loadSettings(file, instanceSettingsSchema);
+    return res.ok || res.error.kind !== "settings-invalid" ? [] : res.error.problems;
+};
+
+test("all sample settings are valid", () => {
+    for (const user of ["board", "cooperative"]) {
+        const files = readdirSync(join(examples, user)).filter(name => /-\d+\.ini$/.test(name));
+        assert.equal(files.length, 8);
+        for (const file of files) {
+            const res = loadSettings(join(examples, user, file), instanceSettingsSchema);
+            assert.ok(res.ok, `${file}: ${JSON.stringify(res)}`);
+        }
+    }
+});
+
+test("an unknown key, a missing address and a wrong value are named with section, key and what is allowed", () => {
+    assert.deepEqual(
+        problemsOf(
+            sample.replace("level = info", "level = loud\ncolour = red").replace(
+                "peer = 10.20.1.1:8081\n",
+                "",
+            ),
+        ),
+        [
+            "[entry] peer: found nothing, allowed: IP:port",
+            "[log] level: found \"loud\", allowed: debug, info, warn or error",
+            "[log] colour: unknown key",
+        ],
+    );
+    assert.deepEqual(problemsOf(`${sample}\n[weights]\na = 1\n`), ["[weights]: unknown section"]);
+});
+
+test("two roles or instances with one address are refused", () => {
+    assert.deepEqual(problemsOf(sample.replace("address = 10.20.1.1:8053", "address = 10.20.1.1:8080")), [
+        "[lookup] address: found \"10.20.1.1:8080\", allowed: an address of its own; [entry] address has this one",
+    ]);
+    assert.equal(problemsOf(sample.replace("steer = 10.20.1.2:8090", "steer = 10.20.1.1:8090")).length, 1);
+});
+
+test("a file that cannot be read is told apart", () => {
+    const res = loadSettings(join(folder, "missing.ini"), instanceSettingsSchema);
+    assert.equal(!res.ok && res.error.kind, "file-unreadable");
+});
--- /dev/null
+++ b/packages/gypsumstage-steering/src/__tests__/unit/updatePlaces.test.ts
@@ -0,0 +1,261 @@
+import type { HeardRecord } from "@gypsumstage/domain/HeardRecord";
+import type { Member } from "@gypsumstage/domain/Member";
+import type { SteeringView } from "@gypsumstage/domain/SteeringView";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { EMPTY_VIEW } from "../../EMPTY_VIEW.js";
+import { EXTRA_DEADLINE_MS } from "../../EXTRA_DEADLINE_MS.js";
+import { LIST_LAG_MS } from "../../LIST_LAG_MS.js";
+import { listEndpoints } from "../../listEndpoints.js";
+import type { PlaceState } from "../../PlaceState.js";
+import { PLAN_LIFETIME_MS } from "../../PLAN_LIFETIME_MS.js";
+import { updatePlaces } from "../../updatePlaces.js";
+import { updateView } from "../../updateView.js";
+
+const PLACES = ["p0", "p1", "p2"];
+const SLOTS = 6;
+const endpoint: Member = {
+    kind: "upstream",
+    name: "e",
+    launch: "l",
+    service: "s",
+    address: "",
+    slots: SLOTS,
+    dataCentre: "d",
+    region: "r",
+    state: "live",
+};
+const intent = {
+    services: ["s"],
+    classes: [],
+    dataCentres: { d: "r" },
+    places: Object.fromEntries(PLACES.map(place => [place, "d"])),
+    links: {},
+    caps: {},
+};
+const configuration = { generation: 1, intent, drains: [], moves: [] };
+
+interface Process {
+    readonly name: string;
+    readonly launch: string;
+    readonly startedAtMs: number;
+    state: PlaceState;
+    view: SteeringView;
+    told: Readonly<Record<string, string>>;
+    /** Until when requests on slots of unoccupied places may still run. */
+    extraUntilMs: number;
+    pausedUntilMs: number;
+}
+
+const memberOf = (name: string, launch: string, state: Member["state"]): Member => ({
+    kind: "instance",
+    name,
+    launch,
+    state,
+    dataCentre: "d",
+    region: "r",
+    entry: "",
+    peer: "",
+    lookup: "",
+    steer: "",
+});
+
+const startProcess = (name: string, launch: string, nowMs: number): Process => ({
+    name,
+    launch,
+    startedAtMs: nowMs,
+    state: { acknowledged: {}, soleSinceMs: undefined, isOwner: false },
+    view: { ...EMPTY_VIEW, configuration },
+    told: {},
+    extraUntilMs: -1,
+    pausedUntilMs: 0,
+});
+
+const recordOf = (process: Pick<Process, "name" | "launch" | "told">, heardAtMs: number): HeardRecord => ({
+    name: process.name,
+    launch: process.launch,
+    dataCentre: "d",
+    region: "r",
+    sequence: heardAtMs,
+    generation: 1,
+    heardAtMs,
+    entryAddress: "",
+    peerAddress: "",
+    steerAddress: "",
+    entry: {
+        incarnation: "",
+        isLeaving: false,
+        generation: 1,
+        inFlight: {},
+        freeSlots: {},
+        demand: {},
+        drainedInFlight: {},
+        acknowledged: process.told,
+    },
+});
+
+const durationMs = fc.oneof(
+    { weight: 8, arbitrary: fc.integer({ min: 0, max: 400 }) },
+    { weight: 1, arbitrary: fc.integer({ min: 2_000, max: 12_000 }) },
+);
+
+const step = fc.record({
+    afterMs: durationMs,
+    who: fc.nat(9),
+    place: fc.constantFrom(...PLACES),
+    action: fc.constantFrom(
+        ...[
+            "read",
+            "hear",
+            "settle",
+            "settle",
+            "settle",
+            "pause",
+            "kill",
+            "declare-gone",
+            "launch",
+            "restart",
+        ] as const,
+    ),
+    lagMs: fc.oneof(fc.constant(0), fc.integer({ min: 0, max: LIST_LAG_MS - 1 })),
+});
+
+type Step = typeof step extends fc.Arbitrary<infer Value> ? Value : never;
+
+/** A data centre with the truth, what the list shows of it, and what each process knows. */
+const createWorld = (): { readonly advance: (each: Step) => void; readonly countUsable: () => number; } => {
+    let nowMs = 100_000;
+    let launches = 0;
+    let processes: readonly Process[] = PLACES.map(name => startProcess(name, "l0", nowMs));
+    let lists = [{ atMs: 0, members: PLACES.map(name => memberOf(name, "l0", "live")) }];
+    const publish = (members: readonly Member[]): void => {
+        lists = [...lists, { atMs: nowMs, members: [...members] }];
+    };
+    const current = (): readonly Member[] => lists.at(-1)?.members ?? [];
+    const isRunning = (process: Process): boolean => process.pausedUntilMs <= nowMs;
+    const slotsOf = (process: Process): { readonly own: number; readonly extra: number; } => {
+        const view = { ...process.view, members: [...process.view.members, endpoint] };
+        const [listed] = listEndpoints({
+            view,
+            places: process.state,
+            self: { name: process.name, dataCentre: "d" },
+        });
+        const readAtMs = process.view.membersReadAtMs;
+        const isFresh = readAtMs !== undefined && nowMs - readAtMs < PLAN_LIFETIME_MS;
+        const mayUseExtra = isFresh && nowMs - process.startedAtMs > LIST_LAG_MS && isRunning(process);
+        return { own: listed?.ownSlots ?? 0, extra: mayUseExtra ? listed?.extraSlots ?? 0 : 0 };
+    };
+    const refresh = (process: Process): void => {
+        const self = { name: process.name, launch: process.launch, dataCentre: "d" };
+        process.state = updatePlaces(process.state, { view: process.view, self, nowMs });
+    };
+    const read = (process: Process, lagMs: number): void => {
+        const seen = lists.findLast(list => list.atMs <= nowMs - lagMs) ?? lists[0];
+        process.view = updateView(process.view, {
+            kind: "members-read",
+            members: seen?.members ?? [],
+            readAtMs: nowMs,
+        });
+        refresh(process);
+    };
+    const hear = (process: Process, other: Process): void => {
+        if (other === process || !isRunning(other)) {
+            return;
+        }
+        // An entry tells an acknowledgement only when no request runs on the slots that it gives up.
+        other.told = nowMs >= other.extraUntilMs ? other.state.acknowledged : other.told;
+        const record = recordOf(other, nowMs);
+        process.view = updateView(process.view, { kind: "records-heard", records: [record], nowMs });
+        refresh(process);
+    };
+    const actAlone = (process: Process, each: Step): void => {
+        const other = processes[(each.who + 1) % processes.length];
+        if (each.action === "read") {
+            read(process, each.lagMs);
+        }
+        else if (each.action === "hear" && other !== undefined) {
+            hear(process, other);
+        }
+        else if (each.action === "pause") {
+            process.pausedUntilMs = nowMs + each.lagMs * 3;
+        }
+        else if (each.action === "restart") {
+            const next = startProcess(process.name, process.launch, nowMs);
+            processes = processes.map(held => held === process ? next : held);
+        }
+    };
+    const actOnPlace = (each: Step): void => {
+        const here = processes.filter(process => process.name === each.place);
+        if (each.action === "launch" && here.length < 2) {
+            launches += 1;
+            publish([...current(), memberOf(each.place, `l${launches}`, "live")]);
+            processes = [...processes, startProcess(each.place, `l${launches}`, nowMs)];
+        }
+        else if (each.action === "declare-gone") {
+            const running = new Set(here.map(process => process.launch));
+            const isGone = (member: Member): boolean =>
+                member.name === each.place && !running.has(member.launch);
+            publish(current().map(member => isGone(member) ? { ...member, state: "gone" } : member));
+        }
+        else if (each.action === "settle") {
+            processes.filter(isRunning).forEach((process, index) =>
+                read(process, index % 2 === 0 ? each.lagMs : 0)
+            );
+            processes.filter(isRunning).forEach(process => processes.forEach(other => hear(process, other)));
+        }
+    };
+    return {
+        advance: each => {
+            nowMs += each.afterMs;
+            const process = processes[each.who % Math.max(1, processes.length)];
+            if (each.action === "kill") {
+                processes = processes.filter(held => held !== process);
+            }
+            else if (process !== undefined && isRunning(process)) {
+                actAlone(process, each);
+            }
+            actOnPlace(each);
+        },
+        countUsable: () =>
+            processes.reduce((total, process) => {
+                const { own, extra } = slotsOf(process);
+                process.extraUntilMs = extra > 0 ? nowMs + EXTRA_DEADLINE_MS : process.extraUntilMs;
+                return total + own + extra;
+            }, 0),
+    };
+};
+
+test("for all histories of replacements, pauses and lagging lists no slot is counted by two processes", () => {
+    const histories = fc.array(step, { minLength: 30, maxLength: 150 });
+    fc.assert(
+        fc.property(histories, steps => {
+            const world = createWorld();
+            for (const each of steps) {
+                world.advance(each);
+                const sum = world.countUsable();
+                assert.ok(sum <= SLOTS, `${sum} of ${SLOTS} slots`);
+            }
+        }),
+        { numRuns: 4_000 },
+    );
+});
+
+test("instances that start together take their places as soon as they have heard of each other", () => {
+    const members = PLACES.map(name => memberOf(name, "l0", "live"));
+    const heardFrom = (name: string): HeardRecord => recordOf({ name, launch: "l0", told: { p0: "l0" } }, 10);
+    const view = {
+        ...EMPTY_VIEW,
+        configuration,
+        members,
+        membersReadAtMs: 10,
+        records: [heardFrom("p1"), heardFrom("p2")],
+    };
+    const start: PlaceState = { acknowledged: {}, soleSinceMs: undefined, isOwner: false };
+    const next = updatePlaces(start, {
+        view,
+        self: { name: "p0", launch: "l0", dataCentre: "d" },
+        nowMs: 20,
+    });
+    assert.deepEqual(next, { acknowledged: { p1: "l0", p2: "l0" }, soleSinceMs: 20, isOwner: true });
+});
