Prove that an accepted configuration is in force and never reverts, under faults

Cause: the point had only unit tests.

Ruled out: the rule itself, the proxy's matching. Cause: the HTTP client takes localAddress beside 'connect', not inside it.

--- a/packages/gypsumstage-entry/src/startEntry.ts
+++ b/packages/gypsumstage-entry/src/startEntry.ts
@@ -105,10 +105,8 @@
     });
     const platform = createHttpPlatform(cfg.platform.address, cfg.instance.sourceAddress);
     const agent = new Agent({
-        connect: {
-            timeout: CONNECT_TIMEOUT_MS,
-            ...(cfg.instance.sourceAddress === undefined ? {} : { localAddress: cfg.instance.sourceAddress }),
-        },
+        connect: { timeout: CONNECT_TIMEOUT_MS },
+        ...(cfg.instance.sourceAddress === undefined ? {} : { localAddress: cfg.instance.sourceAddress }),
         keepAliveTimeout: IDLE_CONNECTION_MS,
         keepAliveMaxTimeout: IDLE_CONNECTION_MS,
         pipelining: 1,
--- a/packages/gypsumstage-platform/src/createHttpPlatform.ts
+++ b/packages/gypsumstage-platform/src/createHttpPlatform.ts
@@ -37,10 +37,8 @@
  */
 export const createHttpPlatform = (address: string, sourceAddress?: string): Platform => {
     const agent = new Agent({
-        connect: {
-            timeout: CALL_TIMEOUT_MS,
-            ...(sourceAddress === undefined ? {} : { localAddress: sourceAddress }),
-        },
+        connect: { timeout: CALL_TIMEOUT_MS },
+        ...(sourceAddress === undefined ? {} : { localAddress: sourceAddress }),
         connections: 4,
     });
     const call = async (
--- a/packages/gypsumstage-shared/src/createRpcClient.ts
+++ b/packages/gypsumstage-shared/src/createRpcClient.ts
@@ -26,10 +26,8 @@
  */
 export const createRpcClient = (timeoutMs: number, sourceAddress?: string): RpcClient => {
     const agent = new Agent({
-        connect: {
-            timeout: timeoutMs,
-            ...(sourceAddress === undefined ? {} : { localAddress: sourceAddress }),
-        },
+        connect: { timeout: timeoutMs },
+        ...(sourceAddress === undefined ? {} : { localAddress: sourceAddress }),
         headersTimeout: timeoutMs,
         bodyTimeout: timeoutMs,
         keepAliveTimeout: IDLE_CONNECTION_MS,
--- /dev/null
+++ b/packages/gypsumstage-standins/src/caller/runLoad.ts
@@ -0,0 +1,37 @@
+import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import { sleep } from "@gypsumstage/shared/sleep";
+import type { Caller } from "./Caller.js";
+import type { Load } from "./Load.js";
+import type { LoadResult } from "./LoadResult.js";
+
+const MS_PER_SECOND = 1_000;
+
+/**
+ * Runs a load against the system.
+ *
+ * @param caller - who sends; a function chooses the caller by the request's number
+ * @param load - the load
+ * @returns one result a request, in the order of sending
+ */
+export const runLoad = async (
+    caller: (index: number) => Caller,
+    load: Load,
+): Promise<readonly LoadResult[]> => {
+    const startedAtMs = monotonicNow();
+    const count = Math.floor(load.ratePerSecond * load.durationMs / MS_PER_SECOND);
+    const pending: Promise<LoadResult>[] = [];
+    for (let index = 0; index < count; index++) {
+        const dueAtMs = index / load.ratePerSecond * MS_PER_SECOND;
+        const waitMs = startedAtMs + dueAtMs - monotonicNow();
+        if (waitMs > 1) {
+            await sleep(waitMs);
+        }
+        const req = load.make(index);
+        const run = async (): Promise<LoadResult> => {
+            const res = await caller(index).send(req);
+            return { ...res, req, dueAtMs, latencyMs: monotonicNow() - startedAtMs - dueAtMs };
+        };
+        pending.push(run());
+    }
+    return Promise.all(pending);
+};
--- /dev/null
+++ b/packages/gypsumstage-standins/src/deployment/postAdmin.ts
@@ -0,0 +1,25 @@
+import { request } from "undici";
+
+const TIMEOUT_MS = 20_000;
+
+/**
+ * Calls the administration API.
+ *
+ * @param steer - address of a steer process
+ * @param path - path of the operation
+ * @param body - its parameters
+ * @returns status and answer
+ */
+export const postAdmin = async (
+    steer: string,
+    path: string,
+    body: unknown,
+): Promise<{ readonly status: number; readonly answer: unknown; }> => {
+    const res = await request(`http://${steer}${path}`, {
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify(body),
+        signal: AbortSignal.timeout(TIMEOUT_MS),
+    });
+    return { status: res.statusCode, answer: await res.body.json() };
+};
--- /dev/null
+++ b/packages/gypsumstage-standins/src/deployment/startServing.ts
@@ -0,0 +1,27 @@
+import { invariant } from "@gypsumstage/shared/invariant";
+import { waitUntilServing } from "../demo/waitUntilServing.js";
+import { applyAndWait } from "./applyAndWait.js";
+import type { Deployment } from "./Deployment.js";
+import type { DeploymentPlan } from "./DeploymentPlan.js";
+import { startDeployment } from "./startDeployment.js";
+
+const FORCE_TIMEOUT_SECONDS = 30;
+
+/**
+ * Starts a deployment, applies its intent and waits until every entry serves.
+ *
+ * @param plan - the deployment
+ * @returns the running deployment
+ */
+export const startServing = async (plan: DeploymentPlan): Promise<Deployment> => {
+    const deployment = await startDeployment(plan);
+    const [first] = deployment.instances;
+    invariant(first, "process-failed");
+    const accepted = await applyAndWait(first.steer, plan.intent, FORCE_TIMEOUT_SECONDS);
+    const isServing = accepted !== undefined && await waitUntilServing(deployment);
+    if (!isServing) {
+        await deployment.stop();
+    }
+    invariant(isServing, "process-failed");
+    return deployment;
+};
