--- a/bench/src/benchHeadroom.ts
+++ b/bench/src/benchHeadroom.ts
@@ -10,7 +10,7 @@
 
 const SERVICE_MS = 50;
 const SLOTS = 5;
-const DURATION_MS = 4_000;
+const DURATION_MS = 2_000;
 const PARTS = [0.5, 0.7, 0.8, 0.9, 0.95, 1.05];
 
 /**
--- a/packages/gypsumstage-entry/src/attemptWithHedge.ts
+++ b/packages/gypsumstage-entry/src/attemptWithHedge.ts
@@ -26,8 +26,11 @@
 
 const start = (context: EntryContext, exchange: Exchange, slot: HeldSlot): Racer => {
     const controller = new AbortController();
-    const signal = AbortSignal.any([exchange.signal, controller.signal]);
-    return { attempt: attemptEndpoint(context, exchange, slot, signal), cancel: () => controller.abort() };
+    const cancel = (): void => controller.abort(new Error("another attempt was faster"));
+    const onAbort = (): void => controller.abort(exchange.signal.reason);
+    exchange.signal.addEventListener("abort", onAbort, { once: true });
+    const attempt = attemptEndpoint(context, exchange, slot, controller.signal);
+    return { attempt, cancel };
 };
 
 const discard = (racer: Racer): void => {
--- a/packages/gypsumstage-entry/src/createLongSubsets.ts
+++ b/packages/gypsumstage-entry/src/createLongSubsets.ts
@@ -3,8 +3,13 @@
 import type { EndpointState } from "@gypsumstage/steering/EndpointState";
 import { listLongSubset } from "@gypsumstage/steering/listLongSubset";
 
+interface Known {
+    readonly names: string;
+    readonly subset: ReadonlySet<string>;
+}
+
 /**
- * Keeps the endpoints that run long work, by service; computed anew only when the set of endpoints changes.
+ * Keeps the endpoints that run long work, by service; chosen anew only when the endpoints of the service change.
  *
  * @param endpoints - the endpoints
  * @returns the lookup by service
@@ -12,27 +17,17 @@
 export const createLongSubsets = (
     endpoints: Store<readonly EndpointState[], EndpointEvent>,
 ): { readonly of: (service: string) => ReadonlySet<string>; } => {
-    const subsets = new Map<string, ReadonlySet<string>>();
-    let names = "";
-    const refresh = (): void => {
-        const current = endpoints.get().map(endpoint => endpoint.name).join(",");
-        if (current !== names) {
-            names = current;
-            subsets.clear();
-        }
-    };
-    endpoints.registerListener(refresh);
+    const subsets = new Map<string, Known>();
     return {
         of: service => {
+            const current = endpoints.get().filter(endpoint => endpoint.service === service);
+            const names = current.map(endpoint => endpoint.name).join(",");
             const held = subsets.get(service);
-            if (held !== undefined) {
-                return held;
+            if (held?.names === names) {
+                return held.subset;
             }
-            const subset = listLongSubset(
-                service,
-                endpoints.get().filter(endpoint => endpoint.service === service),
-            );
-            subsets.set(service, subset);
+            const subset = listLongSubset(service, current);
+            subsets.set(service, { names, subset });
             return subset;
         },
     };
--- a/packages/gypsumstage-entry/src/createSlotQueue.ts
+++ b/packages/gypsumstage-entry/src/createSlotQueue.ts
@@ -40,7 +40,7 @@
     const describe = (ask: SlotAsk, nowMs: number): EndpointRequest => ({
         length: ask.cls.length,
         mayUseExtra: ask.remainingMs <= EXTRA_DEADLINE_MS && mayUseExtra(nowMs),
-        longSubset: subsets.of(ask.cls.service),
+        longSubset: ask.cls.length === "long" ? subsets.of(ask.cls.service) : undefined,
         tried: ask.tried,
         nowMs,
         random: Math.random,
--- a/packages/gypsumstage-entry/src/forwardHeaders.ts
+++ b/packages/gypsumstage-entry/src/forwardHeaders.ts
@@ -19,7 +19,9 @@
 const OWN_PREFIX = "gypsumstage-";
 
 const listConnectionNames = (connection: string | readonly string[] | undefined): readonly string[] =>
-    [connection ?? []].flat().join(",").split(",").map(name => name.trim().toLowerCase());
+    connection === undefined || connection === "keep-alive" || connection === "close"
+        ? []
+        : [connection].flat().join(",").split(",").map(name => name.trim().toLowerCase());
 
 /**
  * Takes the header fields that travel on with a message: those that concern one connection stay behind, and so do
--- a/packages/gypsumstage-entry/src/writeReply.ts
+++ b/packages/gypsumstage-entry/src/writeReply.ts
@@ -1,5 +1,5 @@
 import type { IncomingHttpHeaders } from "node:http";
-import { pipeline } from "node:stream/promises";
+import { Readable } from "node:stream";
 import type { AnswerHeaders } from "./AnswerHeaders.js";
 import { countHeadBytes } from "./countHeadBytes.js";
 import type { EntryProblem } from "./EntryProblem.js";
@@ -7,6 +7,7 @@
 import { forwardHeaders } from "./forwardHeaders.js";
 import { HEADERS } from "./HEADERS.js";
 import { paceChunks } from "./paceChunks.js";
+import { pipeBody } from "./pipeBody.js";
 import type { ReplyWriter } from "./ReplyWriter.js";
 import type { StoredAnswer } from "./StoredAnswer.js";
 
@@ -76,13 +77,8 @@
                     ...headers,
                     [HEADERS.outcome]: "served",
                 });
-                await (take === undefined
-                    ? pipeline(answer.body, res)
-                    : pipeline(
-                        answer.body,
-                        chunks => paceChunks(chunks as AsyncIterable<Buffer>, take),
-                        res,
-                    ));
+                const body = take === undefined ? answer.body : Readable.from(paceChunks(answer.body, take));
+                await pipeBody(body, res);
                 return true;
             }
         }
--- a/packages/gypsumstage-lookup/src/answerLookup.ts
+++ b/packages/gypsumstage-lookup/src/answerLookup.ts
@@ -3,11 +3,10 @@
 import type { Result } from "@gypsumstage/shared/Result";
 import { success } from "@gypsumstage/shared/success";
 import { rankInstances } from "@gypsumstage/steering/rankInstances";
+import { LOOKUP_TTL_SECONDS } from "./LOOKUP_TTL_SECONDS.js";
 import type { LookupError } from "./LookupError.js";
 import type { LookupInput } from "./LookupInput.js";
 
-const TTL_SECONDS = 2;
-
 /**
  * Answers which instances a caller should use.
  *
@@ -36,7 +35,7 @@
         service,
         instances: ranked.map(({ address, dataCentre, region }) => ({ address, dataCentre, region })),
         home: home === undefined ? undefined : `${home.name}.${home.incarnation ?? ""}`,
-        ttlSeconds: TTL_SECONDS,
+        ttlSeconds: LOOKUP_TTL_SECONDS,
         generation: configuration.generation,
     });
 };
--- a/packages/gypsumstage-lookup/src/startLookup.ts
+++ b/packages/gypsumstage-lookup/src/startLookup.ts
@@ -9,7 +9,8 @@
 import { updateView } from "@gypsumstage/steering/updateView";
 import { registerViewSync } from "@gypsumstage/view/registerViewSync";
 import { collectDefaultMetrics, Counter, Registry } from "prom-client";
-import { answerLookup } from "./answerLookup.js";
+import { createAnswerCache } from "./createAnswerCache.js";
+import { LOOKUP_TTL_SECONDS } from "./LOOKUP_TTL_SECONDS.js";
 import type { LookupError } from "./LookupError.js";
 
 const RPC_TIMEOUT_MS = 1_000;
@@ -19,6 +20,11 @@
     "nothing-known": 503,
 };
 
+const ANSWER_HEADERS = {
+    "cache-control": `max-age=${LOOKUP_TTL_SECONDS}`,
+    "content-type": "application/json; charset=utf-8",
+};
+
 /**
  * Starts the look-up process.
  *
@@ -47,19 +53,21 @@
     });
     const { app, listen } = createApp(cfg.listen.lookup ?? cfg.lookup.address);
     registerMetrics(app, registry);
-    app.get("/v1/lookup", async (req, reply) => {
+    const cache = createAnswerCache(() => ({
+        view: store.get(),
+        self: cfg.instance,
+        viewAtMs: sync.syncedAtMs() ?? monotonicNow(),
+        random: Math.random,
+    }));
+    app.get("/v1/lookup", (req, reply) => {
         const { service } = req.query as { readonly service?: string; };
-        const viewAtMs = sync.syncedAtMs() ?? monotonicNow();
-        const answer = answerLookup(
-            { view: store.get(), self: cfg.instance, viewAtMs, random: Math.random },
-            service,
-        );
+        const answer = cache.get(service);
         if (!answer.ok) {
             lookups.inc({ result: answer.error.kind });
             return reply.code(STATUS[answer.error.kind]).send({ error: answer.error });
         }
         lookups.inc({ result: "answered" });
-        return reply.header("cache-control", `max-age=${answer.value.ttlSeconds}`).send(answer.value);
+        return reply.headers(ANSWER_HEADERS).send(answer.value);
     });
     await listen();
     return async () => {
