Hedge only what is unusual, and renew records once a second

A hedge now also waits for 1.5 times the median. The record of an instance had a new sequence each time it was read, so every pull carried all records; it is renewed once a second, and at once when others wait for a change.

--- a/packages/gypsumstage-entry/src/createLatencyKeeper.ts
+++ b/packages/gypsumstage-entry/src/createLatencyKeeper.ts
@@ -8,6 +8,8 @@
 
 const ENOUGH_SAMPLES = 30;
 const MIN_HEDGE_MS = 5;
+/** In quiet times a twentieth of the requests exceed the 95th percentile; they must not use up the budget. */
+const MIN_HEDGE_OVER_MEDIAN = 1.5;
 
 /**
  * Creates the keeper of latencies.
@@ -35,7 +37,7 @@
             const typical = latencies.get(cls.name);
             return typical === undefined || typical.count < ENOUGH_SAMPLES
                 ? undefined
-                : Math.max(MIN_HEDGE_MS, typical.highMs);
+                : Math.max(MIN_HEDGE_MS, typical.highMs, typical.medianMs * MIN_HEDGE_OVER_MEDIAN);
         },
         get: cls => latencies.get(cls.name),
     };
--- a/packages/gypsumstage-steer/src/SteerContext.ts
+++ b/packages/gypsumstage-steer/src/SteerContext.ts
@@ -7,6 +7,7 @@
 import type { ViewEvent } from "@gypsumstage/steering/ViewEvent";
 import type { HeadKnowledge } from "./HeadKnowledge.js";
 import type { LocalRoles } from "./LocalRoles.js";
+import type { OwnRecord } from "./OwnRecord.js";
 
 /** What every task of the steer process works with. */
 export interface SteerContext {
@@ -16,5 +17,6 @@
     readonly rpc: RpcClient;
     readonly store: Store<SteeringView, ViewEvent>;
     readonly local: LocalRoles;
+    readonly ownRecord: OwnRecord;
     readonly head: HeadKnowledge;
 }
--- a/packages/gypsumstage-steer/src/answerExchange.ts
+++ b/packages/gypsumstage-steer/src/answerExchange.ts
@@ -3,7 +3,6 @@
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import { ageRecords } from "@gypsumstage/steering/ageRecords";
 import { holderOf } from "@gypsumstage/steering/holderOf";
-import { createOwnRecord } from "./createOwnRecord.js";
 import type { SteerContext } from "./SteerContext.js";
 
 const WORTH_SENDING_MS = 200;
@@ -21,7 +20,7 @@
 export const answerExchange = (context: SteerContext, req: ExchangeRequest): ExchangeAnswer => {
     const { store, cfg } = context;
     const nowMs = monotonicNow();
-    const own = { ...createOwnRecord(context), heardAtMs: nowMs };
+    const own = { ...context.ownRecord(), heardAtMs: nowMs };
     store.dispatch({ kind: "records-heard", records: [{ ...req.own, heardAtMs: nowMs }, own], nowMs });
     const view = store.get();
     const generation = view.configuration?.generation ?? 0;
--- a/packages/gypsumstage-steer/src/answerViewSync.ts
+++ b/packages/gypsumstage-steer/src/answerViewSync.ts
@@ -2,7 +2,6 @@
 import type { ViewSyncRequest } from "@gypsumstage/domain/ViewSyncRequest";
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import { ageRecords } from "@gypsumstage/steering/ageRecords";
-import { createOwnRecord } from "./createOwnRecord.js";
 import type { SteerContext } from "./SteerContext.js";
 
 /**
@@ -26,7 +25,7 @@
     const nowMs = monotonicNow();
     store.dispatch({
         kind: "records-heard",
-        records: [{ ...createOwnRecord(context), heardAtMs: nowMs }],
+        records: [{ ...context.ownRecord(), heardAtMs: nowMs }],
         nowMs,
     });
     const view = store.get();
--- a/packages/gypsumstage-steer/src/choosePartners.ts
+++ b/packages/gypsumstage-steer/src/choosePartners.ts
@@ -1,18 +1,20 @@
 import type { Partners } from "./Partners.js";
 
-const pick = (addresses: readonly string[], random: () => number): readonly string[] => {
-    const chosen = addresses[Math.floor(random() * addresses.length)];
-    return chosen === undefined ? [] : [chosen];
-};
-
 /**
- * Chooses the peers to ask in one round: one of the own data centre and one of another.
+ * Chooses the peer to ask in one round: in turn one of the own data centre and one of another.
  *
  * @param partners - all peers
+ * @param turn - number of the round
  * @param random - returns a number from 0 up to 1
- * @returns addresses of steer processes
+ * @returns at most one address of a steer process
  */
-export const choosePartners = ({ local, remote }: Partners, random: () => number): readonly string[] => [
-    ...pick(local, random),
-    ...pick(remote, random),
-];
+export const choosePartners = (
+    { local, remote }: Partners,
+    turn: number,
+    random: () => number,
+): readonly string[] => {
+    const preferred = turn % 2 === 0 ? local : remote;
+    const addresses = preferred.length > 0 ? preferred : [...local, ...remote];
+    const chosen = addresses[Math.floor(random() * addresses.length)];
+    return chosen === undefined ? [] : [chosen];
+};
--- a/packages/gypsumstage-steer/src/registerExchange.ts
+++ b/packages/gypsumstage-steer/src/registerExchange.ts
@@ -8,11 +8,10 @@
 import { hearRecords } from "@gypsumstage/steering/hearRecords";
 import { holderOf } from "@gypsumstage/steering/holderOf";
 import { choosePartners } from "./choosePartners.js";
-import { createOwnRecord } from "./createOwnRecord.js";
 import { listPartners } from "./listPartners.js";
 import type { SteerContext } from "./SteerContext.js";
 
-const ROUND_MS = 800;
+const ROUND_MS = 400;
 /** Most peers that are told at once that this instance leaves. */
 const MAX_TOLD = 64;
 
@@ -22,7 +21,7 @@
         [holderOf(record.name, record.launch), record.sequence] as const
     );
     return {
-        own: createOwnRecord(context),
+        own: context.ownRecord(),
         generation: view.configuration?.generation ?? 0,
         sequences: Object.fromEntries(sequences),
         membersAgeMs: view.membersReadAtMs === undefined ? undefined : nowMs - view.membersReadAtMs,
@@ -82,12 +81,16 @@
             log("debug", "peer-unreachable", { error: res.error });
         }
     };
+    let turn = 0;
     const round = async (): Promise<void> => {
         const nowMs = monotonicNow();
-        const own = { ...createOwnRecord(context), heardAtMs: nowMs };
+        const own = { ...context.ownRecord(), heardAtMs: nowMs };
         store.dispatch({ kind: "records-heard", records: [own], nowMs });
         // Not awaited together with the pause: a silent peer must not hold up the rounds with others.
-        choosePartners(listPartners(store.get(), cfg), Math.random).forEach(address => void ask(address));
+        turn += 1;
+        choosePartners(listPartners(store.get(), cfg), turn, Math.random).forEach(address =>
+            void ask(address)
+        );
     };
     const stopListening = store.registerListener((view, previous) => {
         if (isOwnEntryLeaving(view, cfg.instance) && !isOwnEntryLeaving(previous, cfg.instance)) {
--- a/packages/gypsumstage-steer/src/startSteer.ts
+++ b/packages/gypsumstage-steer/src/startSteer.ts
@@ -14,6 +14,7 @@
 import { createHeadKnowledge } from "./createHeadKnowledge.js";
 import { createLocalRoles } from "./createLocalRoles.js";
 import { createMembersVersion } from "./createMembersVersion.js";
+import { createOwnRecord } from "./createOwnRecord.js";
 import { registerBudgetPlan } from "./registerBudgetPlan.js";
 import { registerChangeRoutes } from "./registerChangeRoutes.js";
 import { registerExchange } from "./registerExchange.js";
@@ -34,13 +35,15 @@
  */
 export const startSteer = async (cfg: InstanceSettings, log: Log): Promise<() => Promise<void>> => {
     const store = createStore(EMPTY_VIEW, updateView);
+    const local = createLocalRoles();
     const context: SteerContext = {
         cfg,
         log,
         store,
         platform: createHttpPlatform(cfg.platform.address, cfg.instance.sourceAddress),
         rpc: createRpcClient(RPC_TIMEOUT_MS, cfg.instance.sourceAddress),
-        local: createLocalRoles(),
+        local,
+        ownRecord: createOwnRecord(cfg, local),
         head: createHeadKnowledge(),
     };
     const versions = createMembersVersion(store);
--- /dev/null
+++ b/packages/gypsumstage-steering/src/__tests__/unit/rankInstances.test.ts
@@ -0,0 +1,55 @@
+import type { HeardRecord } from "@gypsumstage/domain/HeardRecord";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { EMPTY_VIEW } from "../../EMPTY_VIEW.js";
+import { HEARD_RECENTLY_MS } from "../../HEARD_RECENTLY_MS.js";
+import { rankInstances } from "../../rankInstances.js";
+
+const NOW_MS = 100_000;
+
+const recordOf = (index: number, isLeaving: boolean, ageMs: number): HeardRecord => ({
+    name: `i-${index}`,
+    launch: "l",
+    dataCentre: `d-${index % 3}`,
+    region: `r-${index % 2}`,
+    entryAddress: `a-${index}`,
+    peerAddress: "",
+    steerAddress: "",
+    sequence: 1,
+    generation: 1,
+    heardAtMs: NOW_MS - ageMs,
+    entry: {
+        incarnation: "x",
+        isLeaving,
+        generation: 1,
+        inFlight: {},
+        freeSlots: {},
+        demand: {},
+        drainedInFlight: {},
+        acknowledged: {},
+    },
+});
+
+const instances = fc.array(fc.tuple(fc.boolean(), fc.integer({ min: 0, max: 10_000 })), {
+    minLength: 1,
+    maxLength: 12,
+});
+
+test("an empty list is never answered, and leaving or silent instances are named only when no other is known", () => {
+    fc.assert(fc.property(instances, drawn => {
+        const records = drawn.map(([isLeaving, ageMs], index) => recordOf(index, isLeaving, ageMs));
+        const named = rankInstances(
+            { ...EMPTY_VIEW, records },
+            { dataCentre: "d-0", region: "r-0" },
+            NOW_MS,
+            Math.random,
+        );
+        assert.ok(named.length > 0);
+        const isGood = (record: HeardRecord | undefined): boolean =>
+            record?.entry?.isLeaving === false && NOW_MS - record.heardAtMs < HEARD_RECENTLY_MS;
+        if (records.some(isGood)) {
+            assert.ok(named.every(each => isGood(records.find(record => record.name === each.name))));
+        }
+    }));
+});
