Tell why requests are refused in the drain benchmark

Ruled out by the reasons: reads, cut requests, unknown outcomes, retries without budget. Before: cause not traced.

--- a/bench/src/benchDrain.ts
+++ b/bench/src/benchDrain.ts
@@ -95,7 +95,9 @@
         await Promise.all(callers.map(caller => caller.stop()));
         await deployment.stop();
     }
-    const counts = countOutcomes(results);
-    const lost = results.length - (counts["served"] ?? 0);
-    return { rows, summary: { requests: results.length, notServed: lost } };
+    const lost = results.filter(each => each.outcome !== "served");
+    const reasons = countOutcomes(
+        lost.map(each => ({ outcome: `${each.req.method} ${each.outcome} ${each.body}` })),
+    );
+    return { rows, summary: { requests: results.length, notServed: lost.length, ...reasons } };
 };
--- a/packages/gypsumstage-standins/src/caller/countOutcomes.ts
+++ b/packages/gypsumstage-standins/src/caller/countOutcomes.ts
@@ -1,5 +1,3 @@
-import type { CallerResult } from "./CallerResult.js";
-
 /**
  * Counts results by outcome.
  *
@@ -7,7 +5,7 @@
  * @returns the count of each outcome that occurred
  */
 export const countOutcomes = (
-    results: readonly Pick<CallerResult, "outcome">[],
+    results: readonly { readonly outcome: string; }[],
 ): Readonly<Record<string, number>> => {
     const counts: Record<string, number> = {};
     results.forEach(({ outcome }) => counts[outcome] = (counts[outcome] ?? 0) + 1);
