--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -1,10 +1,8 @@
-import type { Topic } from "@gypsumstage/domain/traffic/Topic";
 import { createNonce } from "@gypsumstage/shared/createNonce";
 import { createRpcClient } from "@gypsumstage/shared/createRpcClient";
 import type { Log } from "@gypsumstage/shared/Log";
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import type { FleetView } from "@gypsumstage/steering/traffic/FleetView";
-import { isStoreFollower } from "@gypsumstage/steering/traffic/isStoreFollower";
 import type { PeerReport } from "@gypsumstage/steering/traffic/PeerReport";
 import type { PeerView } from "@gypsumstage/steering/traffic/PeerView";
 import { createInstanceMetrics } from "./createInstanceMetrics.js";
@@ -15,7 +13,6 @@
 import type { InstancePhase } from "./InstancePhase.js";
 import type { InstancePorts } from "./InstancePorts.js";
 import { leaveInOrder } from "./leaveInOrder.js";
-import { registerTopicPull } from "./peers/registerTopicPull.js";
 import { startPeerExchange } from "./peers/startPeerExchange.js";
 import { createHomeShares } from "./request/createHomeShares.js";
 import { createRegionPacer } from "./request/createRegionPacer.js";
@@ -25,19 +22,14 @@
 import type { RequestContext } from "./request/RequestContext.js";
 import { startFleetKnowledge } from "./startFleetKnowledge.js";
 import { startListeners } from "./startListeners.js";
-import { registerTopicFollower } from "./store/registerTopicFollower.js";
-import type { TopicFollower } from "./store/TopicFollower.js";
+import { followTopics } from "./store/followTopics.js";
 import { createColdAllowance } from "./upstream/createColdAllowance.js";
 import { createEndpointTracker } from "./upstream/createEndpointTracker.js";
 import { createUpstreamPool } from "./upstream/createUpstreamPool.js";
 import { registerHealthChecks } from "./upstream/registerHealthChecks.js";
 
-const TOPICS: readonly Topic[] = ["policy", "endpoints", "evacuations"];
-/** Longest wait of one watch, in milliseconds: bounds how late a silent connection is noticed. */
-const WATCH_MS = 2_000;
-/** Age of a peer's knowledge of the store after which this instance follows the store itself. */
-const STORE_FRESH_MS = 2_800;
 const RPC_TIMEOUT_MS = 800;
+
 /**
  * Starts an instance: it carries requests, answers look-ups, follows the store and reports to the others.
  *
@@ -56,7 +48,7 @@
     const tracker = createEndpointTracker();
     const pool = createUpstreamPool();
     const rpc = createRpcClient(RPC_TIMEOUT_MS);
-    const followers = new Map<Topic, TopicFollower>();
+    let storeAgeMs = (): number | undefined => undefined;
     let phase: InstancePhase = "serving";
     let inFlight = 0;
     const onView = (view: FleetView, before: FleetView): void => {
@@ -74,13 +66,6 @@
         const view = knowledge.view();
         return phase === "serving" && view.policy !== undefined && view.isComplete;
     };
-    const storeAgeMs = (): number | undefined => {
-        const confirmed = [...followers.values()].map(follower => follower.confirmedAt());
-        const oldest = confirmed.reduce((left, right) =>
-            left === undefined || right === undefined ? undefined : Math.min(left, right)
-        );
-        return oldest === undefined ? undefined : Math.round(monotonicNow() - oldest);
-    };
     const repeats = createRepeatBudget(() => cfg.retry, () => peers.fleetSize());
     const regions = createRegionPacer(
         () => cfg.maxRegionShift,
@@ -154,23 +139,17 @@
         isReady,
         readyInstances,
     });
-    const isFollowing = (): boolean => isStoreFollower(cfg, peers.live(), monotonicNow(), STORE_FRESH_MS);
-    const teardowns: (() => void)[] = [
-        registerHealthChecks(knowledge.view, tracker, pool, ports.dialect, log),
-    ];
-    for (const topic of TOPICS) {
-        const state = knowledge.topics[topic];
-        followers.set(topic, registerTopicFollower(ports.store, topic, state, isFollowing, WATCH_MS, log));
-        teardowns.push(registerTopicPull(topic, state, cfg, peers.live, rpc, log));
-    }
+    const stopHealthChecks = registerHealthChecks(knowledge.view, tracker, pool, ports.dialect, log);
+    const topics = followTopics(cfg, knowledge, ports.store, peers, rpc, log);
+    storeAgeMs = topics.storeAgeMs;
     const leave = async (): Promise<void> => {
         const enter = (next: InstancePhase): void => {
             phase = next;
         };
         const requestsCut = await leaveInOrder(front.server, cfg.graceMs, enter, () => inFlight);
         log("info", "left", { requestsCut });
-        teardowns.forEach(teardown => teardown());
-        followers.forEach(follower => follower.stop());
+        stopHealthChecks();
+        topics.stop();
         peers.stop();
         knowledge.stop();
         await Promise.all([ports.store.close(), rpc.close(), pool.close(), closeListeners()]);
