--- a/packages/gypsumstage-steering/src/hashText.ts
+++ b/packages/gypsumstage-steering/src/hashText.ts
@@ -1,6 +1,4 @@
-import xxhash from "xxhash-wasm";
-
-const hasher = await xxhash();
+import murmurhash from "murmurhash";
 
 /**
  * Hashes a short text to 32 bits; every process gives the same value.
@@ -8,4 +6,4 @@
  * @param text - the text
  * @returns an unsigned 32-bit number
  */
-export const hashText = (text: string): number => hasher.h32(text);
+export const hashText = (text: string): number => murmurhash.v3(text);
