--- a/packages/gypsumstage-instance/src/createInstanceMetrics.ts
+++ b/packages/gypsumstage-instance/src/createInstanceMetrics.ts
@@ -1,58 +1,111 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { InstanceGauges } from "./InstanceGauges.js";
 import type { InstanceMetrics } from "./InstanceMetrics.js";
 
 const BUCKETS_SECONDS: readonly number[] = [0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6];
 const SECOND_MS = 1_000;
 
+const toSeconds = (ms: number | undefined): number | undefined =>
+    ms === undefined ? undefined : ms / SECOND_MS;
+
+const createStateGauge = (registry: Registry, readGauges: () => InstanceGauges): Gauge => {
+    const gauge: Gauge = new Gauge({
+        name: "gypsumstage_state",
+        help: "What the instance knows and does now; figures that are not known are left out",
+        labelNames: ["figure"],
+        registers: [registry],
+        collect: () => {
+            const gauges = readGauges();
+            const figures = {
+                policy_version: gauges.policyVersion,
+                endpoints: gauges.endpoints,
+                live_peers: gauges.livePeers,
+                in_flight: gauges.inFlight,
+                store_age_seconds: toSeconds(gauges.storeAgeMs),
+            };
+            gauge.reset();
+            for (const [figure, value] of Object.entries(figures)) {
+                if (value !== undefined) {
+                    gauge.set({ figure }, value);
+                }
+            }
+        },
+    });
+    return gauge;
+};
+
+const createRepeatsGauge = (registry: Registry, readGauges: () => InstanceGauges): Gauge => {
+    const gauge: Gauge = new Gauge({
+        name: "gypsumstage_repeats_left",
+        help: "Second attempts that this instance may still send within the window, by service",
+        labelNames: ["service"],
+        registers: [registry],
+        collect: () => {
+            gauge.reset();
+            for (const [service, left] of Object.entries(readGauges().repeatsLeft)) {
+                gauge.set({ service }, left);
+            }
+        },
+    });
+    return gauge;
+};
+
 /**
  * Creates the metrics of an instance.
  *
  * @param readGauges - reads the figures that are taken when the metrics are asked for
  * @returns the metrics
  */
-export const createInstanceMetrics = (
-    readGauges: () => Readonly<Record<"policy_version" | "endpoints" | "live_peers" | "in_flight", number>>,
-): InstanceMetrics => {
+export const createInstanceMetrics = (readGauges: () => InstanceGauges): InstanceMetrics => {
     const registry = new Registry();
+    const createHistogram = (name: string, help: string, labelNames: readonly string[]): Histogram =>
+        new Histogram({
+            name,
+            help,
+            labelNames: [...labelNames],
+            buckets: [...BUCKETS_SECONDS],
+            registers: [registry],
+        });
     const replies = new Counter({
         name: "gypsumstage_replies_total",
-        help: "Requests answered, by what the caller got and why",
-        labelNames: ["outcome", "reason"],
+        help: "Requests answered, by service, kind, what the caller got and why",
+        labelNames: ["service", "kind", "outcome", "reason"],
         registers: [registry],
     });
-    const latency = new Histogram({
-        name: "gypsumstage_reply_seconds",
-        help: "Time from a request's arrival to its answer",
-        labelNames: ["outcome"],
-        buckets: [...BUCKETS_SECONDS],
+    const latency = createHistogram(
+        "gypsumstage_reply_seconds",
+        "Time from a request's arrival to its answer",
+        ["service", "kind", "outcome"],
+    );
+    const waits = createHistogram(
+        "gypsumstage_wait_seconds",
+        "Time from a request's arrival to its first sending to an endpoint",
+        ["service"],
+    );
+    const attempts = createHistogram(
+        "gypsumstage_attempt_seconds",
+        "Time of attempts at endpoints, by service and what came of them",
+        ["service", "verdict"],
+    );
+    const storeCalls = new Counter({
+        name: "gypsumstage_store_calls_total",
+        help: "Calls to the store, by topic and what came of them",
+        labelNames: ["topic", "call", "result"],
         registers: [registry],
     });
-    const attempts = new Histogram({
-        name: "gypsumstage_attempt_seconds",
-        help: "Time of attempts at endpoints, by service and what came of them",
-        labelNames: ["service", "verdict"],
-        buckets: [...BUCKETS_SECONDS],
-        registers: [registry],
-    });
-    const state = new Gauge({
-        name: "gypsumstage_state",
-        help: "What the instance knows and does now",
-        labelNames: ["figure"],
-        registers: [registry],
-        collect: () => {
-            for (const [figure, value] of Object.entries(readGauges())) {
-                state.set({ figure }, value);
-            }
-        },
-    });
+    createStateGauge(registry, readGauges);
+    createRepeatsGauge(registry, readGauges);
     return {
         registry,
-        countReply: (reply, tookMs) => {
+        countReply: (reply, labels, tookMs) => {
             const reason = "reason" in reply ? reply.reason.split(":")[0] ?? "" : "";
-            replies.inc({ outcome: reply.kind, reason });
-            latency.observe({ outcome: reply.kind }, tookMs / SECOND_MS);
+            const { service, kind } = labels;
+            replies.inc({ service, kind, outcome: reply.kind, reason });
+            latency.observe({ service, kind, outcome: reply.kind }, tookMs / SECOND_MS);
         },
+        countWait: (service, waitedMs) => waits.observe({ service }, waitedMs / SECOND_MS),
         countAttempt: (service, verdict, tookMs) =>
             attempts.observe({ service, verdict }, tookMs / SECOND_MS),
+        countStoreCall: (topic, call, result) => storeCalls.inc({ topic, call, result }),
     };
 };
--- a/packages/gypsumstage-instance/src/request/RepeatBudget.ts
+++ b/packages/gypsumstage-instance/src/request/RepeatBudget.ts
@@ -4,6 +4,8 @@
     readonly countRequest: (service: string) => void;
     /** Requests within the window, by service. */
     readonly demand: () => Readonly<Record<string, number>>;
+    /** Second attempts left, by service. */
+    readonly left: () => Readonly<Record<string, number>>;
     /** Takes one second attempt; false when none is left. */
     readonly take: (service: string) => boolean;
 }
--- a/packages/gypsumstage-instance/src/request/createAttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/createAttemptSet.ts
@@ -66,6 +66,9 @@
             trace(placement, options);
             const endpoint = placement.kind === "placed" ? ctx.view().endpoints.get(placement.id) : undefined;
             if (endpoint !== undefined) {
+                if (tried.size === 0) {
+                    ctx.metrics.countWait(service, monotonicNow() - req.arrivedAt);
+                }
                 tried.add(endpoint.id);
                 ctx.regions.count(endpoint.region);
                 running.set(
--- a/packages/gypsumstage-instance/src/request/createRepeatBudget.ts
+++ b/packages/gypsumstage-instance/src/request/createRepeatBudget.ts
@@ -1,6 +1,6 @@
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import { countEvents } from "@gypsumstage/steering/traffic/countEvents";
-import { isRepeatAllowed } from "@gypsumstage/steering/traffic/isRepeatAllowed";
+import { countRepeatsLeft } from "@gypsumstage/steering/traffic/countRepeatsLeft";
 import type { RetryBounds } from "@gypsumstage/steering/traffic/RetryBounds";
 import type { SlidingCount } from "@gypsumstage/steering/traffic/SlidingCount";
 import type { RepeatBudget } from "./RepeatBudget.js";
@@ -22,19 +22,17 @@
         counts.set(service, next.count);
         return next.total;
     };
+    const left = (service: string): number =>
+        countRepeatsLeft(bounds(), add(requests, service, 0), add(repeats, service, 0), fleetSize());
     return {
         countRequest: service => {
             add(requests, service, 1);
         },
         demand: () =>
             Object.fromEntries([...requests.keys()].map(service => [service, add(requests, service, 0)])),
+        left: () => Object.fromEntries([...requests.keys()].map(service => [service, left(service)])),
         take: service => {
-            const isAllowed = isRepeatAllowed(
-                bounds(),
-                add(requests, service, 0),
-                add(repeats, service, 0),
-                fleetSize(),
-            );
+            const isAllowed = left(service) >= 1;
             if (isAllowed) {
                 add(repeats, service, 1);
             }
--- a/packages/gypsumstage-instance/src/request/createRequestHandler.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestHandler.ts
@@ -3,9 +3,11 @@
 import { matchRoute } from "@gypsumstage/steering/traffic/matchRoute";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { InstancePhase } from "../InstancePhase.js";
+import type { ReplyLabels } from "../ReplyLabels.js";
 import { readWholeBody } from "./readWholeBody.js";
 import type { Reply } from "./Reply.js";
 import type { RequestContext } from "./RequestContext.js";
+import type { ServedReply } from "./ServedReply.js";
 import { serveRequest } from "./serveRequest.js";
 import { writeReply } from "./writeReply.js";
 
@@ -17,6 +19,10 @@
 /** Largest body while no configuration is known, in bytes. */
 const UNKNOWN_LIMIT_BYTES = 1_048_576;
 
+const UNMATCHED: ReplyLabels = { service: "unknown", kind: "unknown" };
+
+const unmatched = (reply: Reply): ServedReply => ({ reply, labels: UNMATCHED });
+
 const hostOf = (req: IncomingMessage): string => (req.headers.host ?? "").replace(/:\d+$/, "").toLowerCase();
 
 const countHeaderBytes = (req: IncomingMessage): number =>
@@ -38,12 +44,12 @@
         body: Buffer | undefined,
         gone: Promise<void>,
         arrivedAt: number,
-    ): Promise<Reply> | Reply => {
+    ): Promise<ServedReply> | ServedReply => {
         const path = req.url ?? "/";
         const { policy } = ctx.view();
         const route = matchRoute(policy?.routes ?? [], hostOf(req), path);
         if (route === undefined) {
-            return { kind: "rejected", reason: "no-route", status: STATUS_NOT_FOUND };
+            return unmatched({ kind: "rejected", reason: "no-route", status: STATUS_NOT_FOUND });
         }
         const facts = ctx.dialect.readRequest(req.headers);
         return serveRequest(
@@ -66,23 +72,27 @@
         req: IncomingMessage,
         gone: Promise<void>,
         arrivedAt: number,
-    ): Promise<Reply> => {
+    ): Promise<ServedReply> => {
         const limits = ctx.view().policy?.limits;
         const outcome = await readWholeBody(req, limits?.maxBodyBytes ?? UNKNOWN_LIMIT_BYTES);
         if (outcome.kind === "broken-off") {
-            return { kind: "abandoned" };
+            return unmatched({ kind: "abandoned" });
         }
         if (outcome.kind === "too-large") {
-            return { kind: "rejected", reason: "body-too-large", status: STATUS_TOO_LARGE };
+            return unmatched({ kind: "rejected", reason: "body-too-large", status: STATUS_TOO_LARGE });
         }
         if (limits === undefined || !ctx.view().isComplete) {
-            return { kind: "refused", reason: "starting", retryAfterMs: STARTING_RETRY_MS };
+            return unmatched({ kind: "refused", reason: "starting", retryAfterMs: STARTING_RETRY_MS });
         }
         if (phase() === "refusing") {
-            return { kind: "refused", reason: "leaving", retryAfterMs: LEAVING_RETRY_MS };
+            return unmatched({ kind: "refused", reason: "leaving", retryAfterMs: LEAVING_RETRY_MS });
         }
         if (countHeaderBytes(req) > limits.maxHeaderBytes) {
-            return { kind: "rejected", reason: "headers-too-large", status: STATUS_HEADERS_TOO_LARGE };
+            return unmatched({
+                kind: "rejected",
+                reason: "headers-too-large",
+                status: STATUS_HEADERS_TOO_LARGE,
+            });
         }
         return serve(req, outcome.body, gone, arrivedAt);
     };
@@ -95,9 +105,9 @@
                 resolve();
             });
         });
-        const reply = await decide(req, gone, arrivedAt);
+        const { reply, labels } = await decide(req, gone, arrivedAt);
         const tookMs = monotonicNow() - arrivedAt;
-        ctx.metrics.countReply(reply, tookMs);
+        ctx.metrics.countReply(reply, labels, tookMs);
         if (reply.kind !== "relayed") {
             const { requestId } = ctx.dialect.readRequest(req.headers);
             ctx.log("info", "request-not-served", {
--- a/packages/gypsumstage-instance/src/request/serveRequest.ts
+++ b/packages/gypsumstage-instance/src/request/serveRequest.ts
@@ -7,6 +7,7 @@
 import { explainReply } from "./explainReply.js";
 import type { Reply } from "./Reply.js";
 import type { RequestContext } from "./RequestContext.js";
+import type { ServedReply } from "./ServedReply.js";
 import type { ServeEvent } from "./ServeEvent.js";
 
 /** Time after the deadline for which an endpoint's own answer is still awaited, in milliseconds. */
@@ -25,19 +26,21 @@
  * @param req - the request
  * @param route - its route
  * @param gone - resolves when the caller has closed its connection
- * @returns the reply
+ * @returns the reply, with the service that was asked
  */
 export const serveRequest = async (
     ctx: RequestContext,
     req: CallerRequest,
     route: Route,
     gone: Promise<void>,
-): Promise<Reply> => {
+): Promise<ServedReply> => {
     const key = req.objectKey ?? req.id ?? String(Math.random());
     const service = ctx.targets(route, key);
     if (service === undefined) {
-        return { kind: "refused", reason: "no-service", retryAfterMs: NO_ENDPOINT_RETRY_MS };
+        const reply: Reply = { kind: "refused", reason: "no-service", retryAfterMs: NO_ENDPOINT_RETRY_MS };
+        return { reply, labels: { service: "unknown", kind: route.kind } };
     }
+    const labels = { service, kind: route.kind };
     ctx.repeats.countRequest(service);
     const timeoutAt = req.arrivedAt + route.timeoutMs;
     const deadline = Math.min(timeoutAt, req.callerDeadline ?? timeoutAt);
@@ -45,7 +48,7 @@
     const first = attempts.startNext();
     if (first.kind !== "placed") {
         const retryAfterMs = first.kind === "no-room" ? first.retryAfterMs : NO_ENDPOINT_RETRY_MS;
-        return { kind: "refused", reason: first.kind, retryAfterMs };
+        return { reply: { kind: "refused", reason: first.kind, retryAfterMs }, labels };
     }
     const typicalMs = ctx.tracker.typicalMs(service, route.targetLatencyMs);
     const hedgeMs = Math.max(HEDGE_TARGET_SHARE * route.targetLatencyMs, HEDGE_TYPICAL_TIMES * typicalMs);
@@ -71,7 +74,7 @@
             reply = react(event);
         }
         explainReply(ctx, req, route, service, attempts, reply);
-        return reply;
+        return { reply, labels };
     }
     finally {
         hedge.cancel();
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -2,6 +2,7 @@
 import { createRpcClient } from "@gypsumstage/shared/createRpcClient";
 import type { Log } from "@gypsumstage/shared/Log";
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import { findStoreAge } from "@gypsumstage/steering/traffic/findStoreAge";
 import type { FleetView } from "@gypsumstage/steering/traffic/FleetView";
 import type { PeerReport } from "@gypsumstage/steering/traffic/PeerReport";
 import type { PeerView } from "@gypsumstage/steering/traffic/PeerView";
@@ -22,6 +23,7 @@
 import type { RequestContext } from "./request/RequestContext.js";
 import { startFleetKnowledge } from "./startFleetKnowledge.js";
 import { startListeners } from "./startListeners.js";
+import { countStoreCalls } from "./store/countStoreCalls.js";
 import { followTopics } from "./store/followTopics.js";
 import { createColdAllowance } from "./upstream/createColdAllowance.js";
 import { createEndpointTracker } from "./upstream/createEndpointTracker.js";
@@ -92,10 +94,12 @@
         ...peers.live().map(peer => peer.report).filter(report => report.isReady),
     ];
     const metrics = createInstanceMetrics(() => ({
-        policy_version: knowledge.view().policy?.version ?? 0,
+        policyVersion: knowledge.view().policy?.version,
         endpoints: knowledge.view().endpoints.size,
-        live_peers: peers.live().length,
-        in_flight: inFlight,
+        livePeers: peers.live().length,
+        inFlight,
+        storeAgeMs: findStoreAge(storeAgeMs(), peers.live(), monotonicNow()),
+        repeatsLeft: repeats.left(),
     }));
     const coldRate = (service: string): number =>
         knowledge.view().policy?.services.find(each => each.name === service)?.coldRequestsPerSecond ?? 1;
@@ -140,7 +144,14 @@
         readyInstances,
     });
     const stopHealthChecks = registerHealthChecks(knowledge.view, tracker, pool, ports.dialect, log);
-    const topics = followTopics(cfg, knowledge, ports.store, peers, rpc, log);
+    const topics = followTopics(
+        cfg,
+        knowledge,
+        countStoreCalls(ports.store, metrics.countStoreCall),
+        peers,
+        rpc,
+        log,
+    );
     storeAgeMs = topics.storeAgeMs;
     const leave = async (): Promise<void> => {
         const enter = (next: InstancePhase): void => {
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/countRepeatsLeft.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/countRepeatsLeft.test.ts
@@ -1,13 +1,13 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { isRepeatAllowed } from "../../../traffic/isRepeatAllowed.js";
+import { countRepeatsLeft } from "../../../traffic/countRepeatsLeft.js";
 
 const BOUNDS = { ratio: 0.2, slack: 56, windowMs: 10_000 };
 
 const countAllowed = (requests: number, instances: number): number => {
     let repeats = 0;
-    while (isRepeatAllowed(BOUNDS, requests, repeats, instances)) {
+    while (countRepeatsLeft(BOUNDS, requests, repeats, instances) >= 1) {
         repeats += 1;
     }
     return repeats;
--- a/packages/gypsumstage-steering/src/traffic/isStoreFollower.ts
+++ b/packages/gypsumstage-steering/src/traffic/isStoreFollower.ts
@@ -1,4 +1,5 @@
 import { rendezvous } from "../rendezvous.js";
+import { findStoreAge } from "./findStoreAge.js";
 import type { PeerState } from "./PeerState.js";
 
 /**
@@ -17,9 +18,8 @@
     now: number,
     maxAgeMs: number,
 ): boolean => {
-    const isFresh = (peer: PeerState): boolean =>
-        peer.report.storeAgeMs !== undefined && peer.report.storeAgeMs + now - peer.heardAt <= maxAgeMs;
-    if (!live.some(isFresh)) {
+    const ageMs = findStoreAge(undefined, live, now);
+    if (ageMs === undefined || ageMs > maxAgeMs) {
         return true;
     }
     const near = live.filter(peer => peer.report.region === own.region && peer.report.isReady);
