Keep objects at the places that the slots give them, whatever the load does for some seconds

Cause: the share of objects that stay in a region followed the demand of the last 10 s by 0.02 a second, with 1.6 times a region's fair part. Change: the share begins with regions that ask for the same, moves by 0.002 a second, is the fair part; an object that is at home elsewhere has its second place there too; reports to the others every 100 ms (12 ms an instance).

--- a/packages/gypsumstage-instance/src/peers/startPeerExchange.ts
+++ b/packages/gypsumstage-instance/src/peers/startPeerExchange.ts
@@ -12,9 +12,9 @@
 import type { PeerExchange } from "./PeerExchange.js";
 
 /** Shortest time between two reports, in milliseconds. */
-const MIN_PERIOD_MS = 200;
+const MIN_PERIOD_MS = 100;
 /** Time between two reports for each instance that gets them, so that the work of a large fleet is bounded. */
-const PERIOD_PER_PEER_MS = 20;
+const PERIOD_PER_PEER_MS = 12;
 /** Silence after which an instance no longer counts as live: at least this, and so many periods. */
 const MIN_SILENCE_MS = 1_200;
 const SILENCE_PERIODS = 4;
--- a/packages/gypsumstage-instance/src/request/createHomeShares.ts
+++ b/packages/gypsumstage-instance/src/request/createHomeShares.ts
@@ -5,8 +5,8 @@
 import { stepTowards } from "@gypsumstage/steering/traffic/stepTowards";
 import type { HomeShares } from "./HomeShares.js";
 
-/** Change of a share within a second. */
-const MAX_CHANGE_PER_SECOND = 0.02;
+/** Change of a share within a second: an object that moves is not warm at its new place. */
+const MAX_CHANGE_PER_SECOND = 0.002;
 /** Time between two looks at the load, in milliseconds. */
 const REFRESH_MS = 500;
 const SECOND_MS = 1_000;
@@ -17,8 +17,9 @@
 }
 
 /**
- * Creates the shares of objects that stay in the region. They follow the load that all instances report, by
- * small steps, so that few objects move at a time.
+ * Creates the shares of objects that stay in the region. They begin with regions that ask for the same, so
+ * that an instance which starts again finds the places of before, and follow the load that all instances
+ * report slowly: swings of seconds move no object.
  *
  * @param region - the region of this instance
  * @param view - the view in force
@@ -38,8 +39,7 @@
             byRegion.set(report.region, (byRegion.get(report.region) ?? 0) + demand);
         }
         const all = [...byRegion.values()].reduce((sum, each) => sum + each, 0);
-        // Before any load was seen, the regions are taken to ask for the same.
-        return all === 0 ? { near: 1, all: byRegion.size } : { near: byRegion.get(region) ?? 0, all };
+        return { near: byRegion.get(region) ?? 0, all };
     };
     const sumSlots = (service: string): { readonly near: number; readonly all: number; } => {
         const usable = (view().endpointsByService.get(service) ?? []).filter(endpoint =>
@@ -49,13 +49,16 @@
             endpoints.reduce((sum, endpoint) => sum + endpoint.slots, 0);
         return { near: count(usable.filter(endpoint => endpoint.region === region)), all: count(usable) };
     };
+    const countRegions = (): number =>
+        new Set([region, ...[...view().endpoints.values()].map(endpoint => endpoint.region)]).size;
     return service => {
         const now = monotonicNow();
         const known = shares.get(service);
         if (known !== undefined && now - known.updatedAt < REFRESH_MS) {
             return known.share;
         }
-        const target = chooseHomeShare(sumSlots(service), sumDemand(service));
+        const demand = known === undefined ? { near: 1, all: countRegions() } : sumDemand(service);
+        const target = chooseHomeShare(sumSlots(service), demand);
         const maxStep = known === undefined
             ? 1
             : MAX_CHANGE_PER_SECOND * (now - known.updatedAt) / SECOND_MS;
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/rankEndpoints.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/rankEndpoints.test.ts
@@ -46,3 +46,11 @@
         assert.ok(less?.region !== "kutch" || more === less);
     }
 });
+
+test("an object that is at home elsewhere takes two places there before one in the region", () => {
+    for (const key of keys) {
+        const [, second, third] = rankEndpoints(key, [...near, ...far], "kutch", 0);
+        assert.equal(second?.region, "bharuch");
+        assert.equal(third?.region, "kutch");
+    }
+});
--- a/packages/gypsumstage-steering/src/traffic/chooseHomeShare.ts
+++ b/packages/gypsumstage-steering/src/traffic/chooseHomeShare.ts
@@ -1,6 +1,3 @@
-/** Room beyond a region's fair part of the load that it keeps for its own callers. */
-const LOCAL_PREFERENCE = 1.6;
-
 /**
  * Chooses the part of a region's objects that are kept at endpoints of the region itself. The load pattern it
  * answers: callers are spread evenly over the regions and endpoints are not, so a region with few endpoints
@@ -20,6 +17,5 @@
     if (slots.near === slots.all || demand.near === 0 || demand.all === 0) {
         return 1;
     }
-    const fairPart = slots.near / slots.all / (demand.near / demand.all);
-    return Math.min(1, fairPart * LOCAL_PREFERENCE);
+    return Math.min(1, slots.near / slots.all / (demand.near / demand.all));
 };
--- a/packages/gypsumstage-steering/src/traffic/rankEndpoints.ts
+++ b/packages/gypsumstage-steering/src/traffic/rankEndpoints.ts
@@ -2,9 +2,9 @@
 import { hashText } from "../hashText.js";
 
 const HASH_RANGE = 2 ** 32;
-/** Places of an object within the region, and in the others. */
-const NEAR_PLACES = 2;
-const FAR_PLACES = 1;
+/** Places of an object on the side that is its home, this region or the others, and on the other side. */
+const HOME_PLACES = 2;
+const OTHER_PLACES = 1;
 
 const score = (key: string, endpoint: UpstreamEndpoint): number => {
     const drawn = (hashText(`${key}/${endpoint.id}`) + 1) / (HASH_RANGE + 1);
@@ -44,7 +44,10 @@
     region: string,
     homeShare: number,
 ): readonly UpstreamEndpoint[] => {
-    const near = bestOf(key, endpoints.filter(endpoint => endpoint.region === region), NEAR_PLACES);
-    const far = bestOf(key, endpoints.filter(endpoint => endpoint.region !== region), FAR_PLACES);
-    return isHomedNear(key, homeShare) ? [...near, ...far] : [...far, ...near];
+    const isNear = (endpoint: UpstreamEndpoint): boolean => endpoint.region === region;
+    const near = bestOf(key, endpoints.filter(isNear), HOME_PLACES);
+    const far = bestOf(key, endpoints.filter(endpoint => !isNear(endpoint)), HOME_PLACES);
+    return isHomedNear(key, homeShare)
+        ? [...near, ...far.slice(0, OTHER_PLACES)]
+        : [...far, ...near.slice(0, OTHER_PLACES)];
 };
