Send cold endpoints their own objects within the allowance, and know that they lost their data

Cold endpoints got work only when no other was left, so their objects moved to places that had to run them first, and back again; their requests went on being taken as warm for 20 s after the restart. Change: cold endpoints are places like others while this instance has allowance for them, at twice the usual time; their objects' data count as lost. The tests of the tracker and of the owners fail on the old code.

--- a/packages/gypsumstage-instance/src/__tests__/unit/createEndpointTracker.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createEndpointTracker.test.ts
@@ -28,3 +28,15 @@
     assert.deepEqual(tracker.inFlight(), {});
     assert.deepEqual([tracker.isWarm("e-1", "k-1"), tracker.isWarm("e-2", "k-1")], [true, false]);
 });
+
+test("an endpoint that is cold, or was found to have started again, has lost its objects' data", () => {
+    const tracker = createEndpointTracker();
+    for (const event of [{ kind: "cold", until: 1 }, { kind: "checked", now: 1, coldMs: 500 }] as const) {
+        tracker.begin("e-1", "k-1");
+        tracker.report("e-1", event);
+        assert.equal(tracker.isWarm("e-1", "k-1"), false);
+    }
+    tracker.begin("e-1", "k-1");
+    tracker.report("e-1", { kind: "checked", now: 1, coldMs: 0 });
+    assert.equal(tracker.isWarm("e-1", "k-1"), true);
+});
--- a/packages/gypsumstage-instance/src/request/listOptions.ts
+++ b/packages/gypsumstage-instance/src/request/listOptions.ts
@@ -10,6 +10,11 @@
 /** Time there and back, in milliseconds, as far as placement cares. */
 const NEAR_ROUND_TRIP_MS = 2;
 const FAR_ROUND_TRIP_MS = 70;
+/** Time that work takes at an endpoint that has just started, compared with the usual one. */
+const COLD_SLOWNESS = 2;
+
+const isCold = (ctx: RequestContext, endpoint: UpstreamEndpoint, now: number): boolean =>
+    ctx.tracker.health(endpoint.id).coldUntil > now;
 
 const listCandidates = (
     ctx: RequestContext,
@@ -29,8 +34,7 @@
         const health = ctx.tracker.health(endpoint.id);
         return !tried.has(endpoint.id) && !health.needsCheck && health.downUntil <= now;
     });
-    const warm = reachable.filter(endpoint => ctx.tracker.health(endpoint.id).coldUntil <= now);
-    return warm.length > 0 ? warm : reachable.filter(ctx.cold.isAvailable);
+    return reachable.filter(endpoint => !isCold(ctx, endpoint, now) || ctx.cold.isAvailable(endpoint));
 };
 
 /**
@@ -54,6 +58,12 @@
     const places = rankEndpoints(key, candidates, ctx.region, ctx.homeShares(service));
     const isAnyWarm = places.some(place => ctx.tracker.isWarm(place.id, key));
     const now = monotonicNow();
+    const expectHealth = (place: UpstreamEndpoint): ReturnType<typeof fadeHealth> => {
+        const expected = fadeHealth(ctx.tracker.health(place.id), now);
+        return isCold(ctx, place, now)
+            ? { ...expected, slowness: Math.max(expected.slowness, COLD_SLOWNESS) }
+            : expected;
+    };
     return places.map((place, index) => ({
         id: place.id,
         region: place.region,
@@ -61,6 +71,6 @@
         inFlight: ctx.tracker.inFlightAt(place.id) + ctx.peers.inFlight(place.id),
         isWarm: ctx.tracker.isWarm(place.id, key) || (index === 0 && !isAnyWarm),
         roundTripMs: place.region === ctx.region ? NEAR_ROUND_TRIP_MS : FAR_ROUND_TRIP_MS,
-        ...fadeHealth(ctx.tracker.health(place.id), now),
+        ...expectHealth(place),
     }));
 };
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -112,7 +112,7 @@
         peers,
         cold: createColdAllowance(
             cfg.name,
-            () => [cfg.name, ...peers.live().map(peer => peer.report.name)],
+            () => [cfg, ...peers.live().map(peer => peer.report)],
             coldRate,
         ),
         repeats,
--- a/packages/gypsumstage-instance/src/upstream/EndpointTracker.ts
+++ b/packages/gypsumstage-instance/src/upstream/EndpointTracker.ts
@@ -5,6 +5,7 @@
 /** What this instance has seen and does at each endpoint. */
 export interface EndpointTracker {
     readonly health: (id: string) => EndpointHealth;
+    /** Takes in what was seen; an endpoint that is cold has lost its objects' data. */
     readonly report: (id: string, event: HealthEvent) => void;
     /** Counts a request in flight; returns the function that ends the count. */
     readonly begin: (id: string, objectKey: string) => () => void;
--- a/packages/gypsumstage-instance/src/upstream/createEndpointTracker.ts
+++ b/packages/gypsumstage-instance/src/upstream/createEndpointTracker.ts
@@ -36,7 +36,12 @@
     };
     return {
         health: id => health.get(id) ?? HEALTHY,
-        report: (id, event) => health.set(id, updateHealth(health.get(id) ?? HEALTHY, event)),
+        report: (id, event) => {
+            health.set(id, updateHealth(health.get(id) ?? HEALTHY, event));
+            if (event.kind === "cold" || (event.kind === "checked" && event.coldMs > 0)) {
+                warm.delete(id);
+            }
+        },
         begin: (id, objectKey) => {
             touch(id, objectKey);
             count(id, 1);
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/peers.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/peers.test.ts
@@ -83,8 +83,17 @@
 });
 
 test("the owners of a cold endpoint stay the same while other instances come and go", () => {
-    const names = Array.from({ length: 20 }, (_, index) => `n${index}`);
-    const owners = listColdOwners("e1", names, 3);
-    const without = names.filter(name => owners.includes(name) || name < "n5");
-    assert.deepEqual(listColdOwners("e1", without, 3), owners);
+    const endpoint = { id: "e1", region: "kutch" };
+    const instances = Array.from({ length: 20 }, (_, index) => ({ name: `n${index}`, region: "kutch" }));
+    const owners = listColdOwners(endpoint, instances, 3);
+    const left = instances.filter(each => owners.includes(each.name) || each.name < "n5");
+    assert.deepEqual(listColdOwners(endpoint, left, 3), owners);
+});
+
+test("instances of a cold endpoint's region own it first, others where they are too few", () => {
+    const instances = ["kutch", "kutch", "bharuch", "bharuch", "bharuch"]
+        .map((region, index) => ({ name: `n${index}`, region }));
+    const owners = listColdOwners({ id: "e1", region: "kutch" }, instances, 3);
+    assert.deepEqual([...owners.slice(0, 2)].sort(), ["n0", "n1"]);
+    assert.equal(owners.length, 3);
 });
