--- a/packages/gypsumstage-instance/src/request/AttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/AttemptSet.ts
@@ -6,6 +6,8 @@
 export interface AttemptSet {
     /** Places the request at an endpoint that was not tried yet, and sends it there when there is one. */
     readonly startNext: () => Placement;
+    /** Does the same for a second attempt that is to save time: only at an endpoint with a free slot. */
+    readonly startHedge: () => Placement;
     /** Waits for each running attempt. */
     readonly running: () => readonly Promise<FinishedAttempt>[];
     /** Takes an attempt that came to an end out of the running ones. */
--- a/packages/gypsumstage-instance/src/request/createAttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/createAttemptSet.ts
@@ -11,6 +11,8 @@
 import type { RunningAttempt } from "./RunningAttempt.js";
 import { startAttempt } from "./startAttempt.js";
 
+const hasFreeSlot = (option: PlacementOption): boolean => option.inFlight < option.slots;
+
 /**
  * Creates the set of attempts of one request.
  *
@@ -59,25 +61,29 @@
         const placement = placeRequest(paced, workMs, remainingMs);
         return placement.kind === "placed" ? placement : placeRequest(options, workMs, remainingMs);
     };
-    return {
-        startNext: () => {
-            const options = listOptions(ctx, route, service, key, tried);
-            const placement = place(options);
-            trace(placement, options);
-            const endpoint = placement.kind === "placed" ? ctx.view().endpoints.get(placement.id) : undefined;
-            if (endpoint !== undefined) {
-                if (tried.size === 0) {
-                    ctx.metrics.countWait(service, monotonicNow() - req.arrivedAt);
-                }
-                tried.add(endpoint.id);
-                ctx.regions.count(endpoint.region);
-                running.set(
-                    endpoint.id,
-                    startAttempt(ctx, req, endpoint, key, deadline, route.targetLatencyMs),
-                );
-                sent += 1;
+    const start = (options: readonly PlacementOption[]): Placement => {
+        const placement = place(options);
+        trace(placement, options);
+        const endpoint = placement.kind === "placed" ? ctx.view().endpoints.get(placement.id) : undefined;
+        if (endpoint !== undefined) {
+            if (tried.size === 0) {
+                ctx.metrics.countWait(service, monotonicNow() - req.arrivedAt);
             }
-            return placement;
+            tried.add(endpoint.id);
+            ctx.regions.count(endpoint.region);
+            running.set(
+                endpoint.id,
+                startAttempt(ctx, req, endpoint, key, deadline, route.targetLatencyMs),
+            );
+            sent += 1;
+        }
+        return placement;
+    };
+    return {
+        startNext: () => start(listOptions(ctx, route, service, key, tried)),
+        startHedge: () => {
+            const free = listOptions(ctx, route, service, key, tried).filter(hasFreeSlot);
+            return free.length > 0 && ctx.repeats.take(service) ? start(free) : { kind: "no-endpoint" };
         },
         running: () => [...running.values()].map(attempt => attempt.finished),
         settle: attempt => {
--- a/packages/gypsumstage-instance/src/request/createReaction.ts
+++ b/packages/gypsumstage-instance/src/request/createReaction.ts
@@ -68,8 +68,8 @@
         return relay(attempt);
     };
     const startHedge = (): void => {
-        if (mayRepeat() && repeats.take(service)) {
-            attempts.startNext();
+        if (mayRepeat()) {
+            attempts.startHedge();
         }
     };
     return event => {
