Let no request wait at a place without its object's data

Each of them ran three times as long and displaced another object: the cold state, in small. Ruled out: imbalance (all endpoints were as full), the start itself (all ready 0.9 s after the power). Change: a place without the object's data is an option only while it has a free slot. The new test of placeRequest fails on the old code.

--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/placeRequest.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/placeRequest.test.ts
@@ -31,6 +31,12 @@
     assert.equal(placedAt([home, option("other", { isWarm: true })]), "other");
 });
 
+test("overload: no request waits at a place without its object's data, also while the first place is full", () => {
+    const home = option("home", { isWarm: true, inFlight: 18 });
+    assert.equal(placedAt([home, option("other", { inFlight: 6 })]), undefined);
+    assert.equal(placedAt([home, option("other", { inFlight: 5 })]), "other");
+});
+
 test("slowed endpoint: work goes where it is done sooner, even without warm data", () => {
     assert.equal(placedAt([option("home", { isWarm: true, slowness: 8 }), option("other")]), "other");
 });
--- a/packages/gypsumstage-steering/src/traffic/placeRequest.ts
+++ b/packages/gypsumstage-steering/src/traffic/placeRequest.ts
@@ -3,8 +3,9 @@
 
 /** Cost of work without warm data compared with work on warm data; what it displaces counts in. */
 const COLD_FACTOR = 5;
-/** Requests that an endpoint holds, waiting ones included, for each of its slots. */
+/** Requests that an endpoint holds, waiting ones included, for each of its slots: on warm data, and without. */
 const MAX_QUEUE_FACTOR = 3;
+const MAX_COLD_QUEUE_FACTOR = 1;
 const MIN_RETRY_AFTER_MS = 100;
 
 const waitMs = (option: PlacementOption, workMs: number): number => {
@@ -18,14 +19,16 @@
     return total / Math.max(0.1, 1 - option.errorShare);
 };
 
-const hasRoom = (option: PlacementOption): boolean => option.inFlight < option.slots * MAX_QUEUE_FACTOR;
+const hasRoom = (option: PlacementOption): boolean =>
+    option.inFlight < option.slots * (option.isWarm ? MAX_QUEUE_FACTOR : MAX_COLD_QUEUE_FACTOR);
 
 /**
  * Places a request at the endpoint where it is expected to be done first. The load pattern it answers: load
  * near what the slots can carry. Work on warm data takes a third of the time, so a short queue before the
  * object's own endpoint beats a free slot elsewhere; spreading the work over more endpoints would displace
  * other objects there until all work is cold and no slot is ever free again. So only the object's few places
- * are weighed, and a request that none of them can finish in time is refused at once.
+ * are weighed, one without its data only while that has a free slot, and a request that none of them can
+ * finish in time is refused at once.
  *
  * @param options - the object's places, the preferred one first
  * @param workMs - usual time of work on warm data, in milliseconds
