Repeat a safe request that its endpoint failed

Change: such an answer is kept, the request is repeated within maxAttempts and the budget, and the caller gets the first answer when no other attempt does better. Requests that are not safe still get the endpoint's answer.

--- a/packages/gypsumstage-instance/src/request/createReaction.ts
+++ b/packages/gypsumstage-instance/src/request/createReaction.ts
@@ -22,7 +22,7 @@
 /**
  * Creates the function that takes what happens while a request is served: it repeats the request where that
  * is allowed, and settles the reply. A request that is not safe is sent again only when it certainly has not
- * run, and is refused only then.
+ * run, and is refused only then; a safe one also when the endpoint answered that it failed.
  *
  * @param attempts - the request's attempts
  * @param route - its route
@@ -38,12 +38,17 @@
     deadline: number,
     repeats: RepeatBudget,
 ): (event: ServeEvent) => Reply | undefined => {
+    /** An endpoint's answer that it failed; the caller gets it when no other attempt does better. */
+    let failed: Reply | undefined;
     const mayRepeat = (): boolean =>
         attempts.sentCount() < route.maxAttempts
         && deadline - monotonicNow() > MIN_BUDGET_MS
         && (route.kind === "safe" || !attempts.mayHaveRun());
     const giveUp = (reason: string, isTimeout: boolean): Reply => {
         attempts.abort();
+        if (failed !== undefined) {
+            return failed;
+        }
         return attempts.mayHaveRun()
             ? { kind: "failed", reason, isTimeout }
             : { kind: "refused", reason, retryAfterMs: REFUSED_RETRY_MS };
@@ -64,6 +69,10 @@
         if (attempt.verdict.kind !== "final") {
             return repeatOrGiveUp(attempt);
         }
+        if (attempt.verdict.isError && route.kind === "safe") {
+            failed = relay(attempt);
+            return repeatOrGiveUp(attempt);
+        }
         attempts.abort();
         return relay(attempt);
     };
