--- a/packages/gypsumstage-instance/src/request/listOptions.ts
+++ b/packages/gypsumstage-instance/src/request/listOptions.ts
@@ -2,6 +2,7 @@
 import type { UpstreamEndpoint } from "@gypsumstage/domain/traffic/UpstreamEndpoint";
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import { fadeHealth } from "@gypsumstage/steering/traffic/fadeHealth";
+import { HOME_PLACES } from "@gypsumstage/steering/traffic/HOME_PLACES";
 import { listUsableEndpoints } from "@gypsumstage/steering/traffic/listUsableEndpoints";
 import type { PlacementOption } from "@gypsumstage/steering/traffic/PlacementOption";
 import { rankEndpoints } from "@gypsumstage/steering/traffic/rankEndpoints";
@@ -69,6 +70,7 @@
         region: place.region,
         slots: place.slots,
         inFlight: ctx.tracker.inFlightAt(place.id) + ctx.peers.inFlight(place.id),
+        isHome: index < HOME_PLACES,
         isWarm: ctx.tracker.isWarm(place.id, key) || (index === 0 && !isAnyWarm),
         roundTripMs: place.region === ctx.region ? NEAR_ROUND_TRIP_MS : FAR_ROUND_TRIP_MS,
         ...expectHealth(place),
--- a/packages/gypsumstage-instance/src/startListeners.ts
+++ b/packages/gypsumstage-instance/src/startListeners.ts
@@ -5,6 +5,7 @@
 import { registerMetrics } from "@gypsumstage/shared/registerMetrics";
 import { registerRpc } from "@gypsumstage/shared/registerRpc";
 import { chooseInstances } from "@gypsumstage/steering/traffic/chooseInstances";
+import { listHomeRegions } from "@gypsumstage/steering/traffic/listHomeRegions";
 import type { PeerView } from "@gypsumstage/steering/traffic/PeerView";
 import type { Server } from "node:http";
 import type { Registry } from "prom-client";
@@ -53,7 +54,14 @@
     registerLookupRoute(
         lookup.app,
         sources.ports.lookup,
-        question => chooseInstances(question, sources.readyInstances()),
+        question => {
+            const routes = sources.knowledge.view().policy?.routes ?? [];
+            return chooseInstances(
+                question,
+                sources.readyInstances(),
+                listHomeRegions(routes, question.host),
+            );
+        },
         () => sources.cfg().lookupTtlMs,
     );
     const requests = parseAddress(listen.requests);
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/peers.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/peers.test.ts
@@ -5,10 +5,12 @@
 import { findFresherPeer } from "../../../traffic/findFresherPeer.js";
 import { isStoreFollower } from "../../../traffic/isStoreFollower.js";
 import { listColdOwners } from "../../../traffic/listColdOwners.js";
+import { listHomeRegions } from "../../../traffic/listHomeRegions.js";
 import { listLivePeers } from "../../../traffic/listLivePeers.js";
 import type { PeerReport } from "../../../traffic/PeerReport.js";
 import type { PeerTable } from "../../../traffic/PeerTable.js";
 import { updatePeers } from "../../../traffic/updatePeers.js";
+import { createRoute } from "./createRoute.js";
 
 const report = (name: string, fields: Partial<PeerReport> = {}): PeerReport => ({
     name,
@@ -75,11 +77,13 @@
         report("b", { dataCentre: "kutch-b" }),
         report("c", { dataCentre: "x", region: "bharuch" }),
     ];
-    const ask = (dataCentre: string, region: string): readonly string[] =>
-        chooseInstances({ host: "h", dataCentre, region }, instances);
+    const ask = (dataCentre: string, region: string, homes: readonly string[] = []): readonly string[] =>
+        chooseInstances({ host: "h", dataCentre, region }, instances, homes);
     assert.deepEqual(ask("kutch-a", "kutch"), ["a:1", "b:1"]);
     assert.deepEqual(ask("x", "bharuch"), ["c:1"]);
     assert.deepEqual(ask("y", "bhavnagar"), ["a:1", "b:1", "c:1"]);
+    assert.deepEqual(ask("y", "bhavnagar", ["bharuch"]), ["c:1"]);
+    assert.deepEqual(ask("kutch-a", "kutch", ["bharuch"]), ["a:1", "b:1"], "its own region stays first");
 });
 
 test("the owners of a cold endpoint stay the same while other instances come and go", () => {
@@ -97,3 +101,14 @@
     assert.deepEqual([...owners.slice(0, 2)].sort(), ["n0", "n1"]);
     assert.equal(owners.length, 3);
 });
+
+test("the home regions of a host are those in which all its bound routes may be served", () => {
+    const routes = [
+        createRoute({ allowedRegions: ["kutch", "bharuch"] }),
+        createRoute({ pathPrefix: "/b/", allowedRegions: ["bharuch", "bhavnagar"] }),
+        createRoute({ pathPrefix: "/c/" }),
+        createRoute({ host: "other.example", allowedRegions: ["kutch"] }),
+    ];
+    assert.deepEqual(listHomeRegions(routes, "desk.example"), ["bharuch"]);
+    assert.deepEqual(listHomeRegions(routes, "unknown.example"), []);
+});
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/placeRequest.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/placeRequest.test.ts
@@ -11,6 +11,7 @@
     slots: 6,
     inFlight: 0,
     isWarm: false,
+    isHome: false,
     slowness: 1,
     errorShare: 0,
     roundTripMs: 2,
@@ -37,6 +38,13 @@
     assert.equal(placedAt([home, option("other", { inFlight: 5 })]), "other");
 });
 
+test("a queue of more than a request's work: a free slot at the second place at home takes over, elsewhere not", () => {
+    const home = option("home", { isWarm: true, isHome: true, inFlight: 13 });
+    assert.equal(placedAt([home, option("second", { isHome: true }), option("other")]), "second");
+    assert.equal(placedAt([home, option("other")]), "home");
+    assert.equal(placedAt([{ ...home, inFlight: 10 }, option("second", { isHome: true })]), "home");
+});
+
 test("slowed endpoint: work goes where it is done sooner, even without warm data", () => {
     assert.equal(placedAt([option("home", { isWarm: true, slowness: 8 }), option("other")]), "other");
 });
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/replayCollapse.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/replayCollapse.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { HOME_PLACES } from "../../../traffic/HOME_PLACES.js";
 import type { Placement } from "../../../traffic/Placement.js";
 import type { PlacementOption } from "../../../traffic/PlacementOption.js";
 import { placeRequest } from "../../../traffic/placeRequest.js";
@@ -101,6 +102,7 @@
         slots: place.slots,
         inFlight: load(fleet.get(place.id)),
         isWarm: index === 0,
+        isHome: index < HOME_PLACES,
         slowness: 1,
         errorShare: 0,
         roundTripMs: 2,
--- /dev/null
+++ b/packages/gypsumstage-steering/src/traffic/HOME_PLACES.ts
@@ -0,0 +1,2 @@
+/** Places of an object on the side that is its home. */
+export const HOME_PLACES = 2;
--- a/packages/gypsumstage-steering/src/traffic/PlacementOption.ts
+++ b/packages/gypsumstage-steering/src/traffic/PlacementOption.ts
@@ -7,6 +7,8 @@
     readonly inFlight: number;
     /** True when it ran a request for the same object lately, or is the object's first place. */
     readonly isWarm: boolean;
+    /** True for the places where the object is at home. */
+    readonly isHome: boolean;
     /** Time that work takes there compared with the usual one. */
     readonly slowness: number;
     /** Share of recent requests that failed there, 0 to 1. */
--- a/packages/gypsumstage-steering/src/traffic/placeRequest.ts
+++ b/packages/gypsumstage-steering/src/traffic/placeRequest.ts
@@ -1,20 +1,32 @@
 import type { Placement } from "./Placement.js";
 import type { PlacementOption } from "./PlacementOption.js";
 
-/** Cost of work without warm data compared with work on warm data; what it displaces counts in. */
+/**
+ * Cost of work without warm data compared with work on warm data, what it displaces counted in. At a place
+ * where the object is at home it is less: the data stay of use there, and callers through other instances may
+ * have brought them already.
+ */
 const COLD_FACTOR = 5;
+const COLD_HOME_FACTOR = 2;
 /** Requests that an endpoint holds, waiting ones included, for each of its slots: on warm data, and without. */
 const MAX_QUEUE_FACTOR = 3;
 const MAX_COLD_QUEUE_FACTOR = 1;
 const MIN_RETRY_AFTER_MS = 100;
 
+const workFactor = (option: PlacementOption): number => {
+    if (option.isWarm) {
+        return 1;
+    }
+    return option.isHome ? COLD_HOME_FACTOR : COLD_FACTOR;
+};
+
 const waitMs = (option: PlacementOption, workMs: number): number => {
     const ahead = option.inFlight + 1 - option.slots;
     return ahead <= 0 ? 0 : ahead / option.slots * workMs * option.slowness;
 };
 
 const expectedMs = (option: PlacementOption, workMs: number): number => {
-    const work = workMs * option.slowness * (option.isWarm ? 1 : COLD_FACTOR);
+    const work = workMs * option.slowness * workFactor(option);
     const total = waitMs(option, workMs) + work + option.roundTripMs;
     return total / Math.max(0.1, 1 - option.errorShare);
 };
--- a/packages/gypsumstage-steering/src/traffic/rankEndpoints.ts
+++ b/packages/gypsumstage-steering/src/traffic/rankEndpoints.ts
@@ -1,9 +1,9 @@
 import type { UpstreamEndpoint } from "@gypsumstage/domain/traffic/UpstreamEndpoint";
 import { hashText } from "../hashText.js";
+import { HOME_PLACES } from "./HOME_PLACES.js";
 
 const HASH_RANGE = 2 ** 32;
-/** Places of an object on the side that is its home, this region or the others, and on the other side. */
-const HOME_PLACES = 2;
+/** Places of an object on the side that is not its home, this region or the others. */
 const OTHER_PLACES = 1;
 
 const score = (key: string, endpoint: UpstreamEndpoint): number => {
