--- a/packages/gypsumstage-entry/src/EntryContext.ts
+++ b/packages/gypsumstage-entry/src/EntryContext.ts
@@ -10,15 +10,15 @@
 import type { ViewEvent } from "@gypsumstage/steering/ViewEvent";
 import type { Tracer } from "@opentelemetry/api";
 import type { Dispatcher } from "undici";
-import type { BudgetKeeper } from "./BudgetKeeper.js";
-import type { ClassCaps } from "./ClassCaps.js";
+import type { LinkPacers } from "./attempt/LinkPacers.js";
+import type { BudgetKeeper } from "./classify/BudgetKeeper.js";
+import type { ClassCaps } from "./classify/ClassCaps.js";
+import type { LatencyKeeper } from "./classify/LatencyKeeper.js";
 import type { EntryMetrics } from "./EntryMetrics.js";
-import type { LatencyKeeper } from "./LatencyKeeper.js";
-import type { LinkPacers } from "./LinkPacers.js";
-import type { MoveRamps } from "./MoveRamps.js";
-import type { Places } from "./Places.js";
-import type { SlotQueue } from "./SlotQueue.js";
-import type { StoredAnswer } from "./StoredAnswer.js";
+import type { StoredAnswer } from "./keyed/StoredAnswer.js";
+import type { MoveRamps } from "./place/MoveRamps.js";
+import type { Places } from "./place/Places.js";
+import type { SlotQueue } from "./place/SlotQueue.js";
 
 /** What the parts of the entry process work with. */
 export interface EntryContext {
--- a/packages/gypsumstage-entry/src/__tests__/unit/combineAttempts.test.ts
+++ b/packages/gypsumstage-entry/src/__tests__/unit/combineAttempts.test.ts
@@ -1,8 +1,8 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { Attempt } from "../../Attempt.js";
-import { combineAttempts } from "../../combineAttempts.js";
+import type { Attempt } from "../../attempt/Attempt.js";
+import { combineAttempts } from "../../attempt/combineAttempts.js";
 
 const attempt: fc.Arbitrary<Attempt> = fc.constantFrom("refused", "not-sent", "unknown").map(kind =>
     ({ kind, reason: kind }) as Attempt
--- a/packages/gypsumstage-entry/src/__tests__/unit/createLinkPacers.test.ts
+++ b/packages/gypsumstage-entry/src/__tests__/unit/createLinkPacers.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createLinkPacers } from "../../createLinkPacers.js";
-import type { LinkPacers } from "../../LinkPacers.js";
+import { createLinkPacers } from "../../attempt/createLinkPacers.js";
+import type { LinkPacers } from "../../attempt/LinkPacers.js";
 
 const RATE = 1_000_000;
 const PART = 10_000;
--- a/packages/gypsumstage-entry/src/__tests__/unit/forwardHeaders.test.ts
+++ b/packages/gypsumstage-entry/src/__tests__/unit/forwardHeaders.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { forwardHeaders } from "../../forwardHeaders.js";
+import { forwardHeaders } from "../../read/forwardHeaders.js";
 
 test("fields of one connection and the system's own fields do not travel on", () => {
     const kept = forwardHeaders({
--- a/packages/gypsumstage-entry/src/EntryReply.ts
+++ b/packages/gypsumstage-entry/src/answer/EntryReply.ts
@@ -1,6 +1,6 @@
-import type { AnsweredAttempt } from "./AnsweredAttempt.js";
+import type { AnsweredAttempt } from "../attempt/AnsweredAttempt.js";
+import type { StoredAnswer } from "../keyed/StoredAnswer.js";
 import type { EntryProblem } from "./EntryProblem.js";
-import type { StoredAnswer } from "./StoredAnswer.js";
 
 /** What the entry answers a caller or another entry. */
 export type EntryReply =
--- a/packages/gypsumstage-entry/src/ReplyWriter.ts
+++ b/packages/gypsumstage-entry/src/answer/ReplyWriter.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from "node:http";
+import type { TakeBytes } from "../read/TakeBytes.js";
 import type { AnswerHeaders } from "./AnswerHeaders.js";
-import type { TakeBytes } from "./TakeBytes.js";
 
 /** How a reply is written. */
 export interface ReplyWriter {
--- a/packages/gypsumstage-entry/src/replyFor.ts
+++ b/packages/gypsumstage-entry/src/answer/replyFor.ts
@@ -1,7 +1,7 @@
-import type { Attempt } from "./Attempt.js";
+import type { Attempt } from "../attempt/Attempt.js";
+import type { Exchange } from "../read/Exchange.js";
 import { createProblem } from "./createProblem.js";
 import type { EntryReply } from "./EntryReply.js";
-import type { Exchange } from "./Exchange.js";
 
 /**
  * Turns the last attempt of a request into the reply. `not-run` is told only when no attempt can have run.
--- a/packages/gypsumstage-entry/src/writeReply.ts
+++ b/packages/gypsumstage-entry/src/answer/writeReply.ts
@@ -1,15 +1,15 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { Readable } from "node:stream";
+import { paceChunks } from "../attempt/paceChunks.js";
+import type { StoredAnswer } from "../keyed/StoredAnswer.js";
+import { countHeadBytes } from "../read/countHeadBytes.js";
+import { forwardHeaders } from "../read/forwardHeaders.js";
+import { HEADERS } from "../read/HEADERS.js";
+import { pipeBody } from "../read/pipeBody.js";
 import type { AnswerHeaders } from "./AnswerHeaders.js";
-import { countHeadBytes } from "./countHeadBytes.js";
 import type { EntryProblem } from "./EntryProblem.js";
 import type { EntryReply } from "./EntryReply.js";
-import { forwardHeaders } from "./forwardHeaders.js";
-import { HEADERS } from "./HEADERS.js";
-import { paceChunks } from "./paceChunks.js";
-import { pipeBody } from "./pipeBody.js";
 import type { ReplyWriter } from "./ReplyWriter.js";
-import type { StoredAnswer } from "./StoredAnswer.js";
 
 const RETRY_AFTER_SECONDS = 1;
 
--- a/packages/gypsumstage-entry/src/AnsweredAttempt.ts
+++ b/packages/gypsumstage-entry/src/attempt/AnsweredAttempt.ts
@@ -1,5 +1,5 @@
 import type { Readable } from "node:stream";
-import type { AnswerHeaders } from "./AnswerHeaders.js";
+import type { AnswerHeaders } from "../answer/AnswerHeaders.js";
 
 /** An attempt whose answer has begun. */
 export interface AnsweredAttempt {
--- a/packages/gypsumstage-entry/src/AttemptTarget.ts
+++ b/packages/gypsumstage-entry/src/attempt/AttemptTarget.ts
@@ -1,4 +1,4 @@
-import type { AnswerHeaders } from "./AnswerHeaders.js";
+import type { AnswerHeaders } from "../answer/AnswerHeaders.js";
 
 /** Where an attempt goes. */
 export interface AttemptTarget {
--- a/packages/gypsumstage-entry/src/attemptEndpoint.ts
+++ b/packages/gypsumstage-entry/src/attempt/attemptEndpoint.ts
@@ -1,10 +1,10 @@
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import type { EntryContext } from "../EntryContext.js";
+import type { HeldSlot } from "../place/HeldSlot.js";
+import type { Exchange } from "../read/Exchange.js";
+import { HEADERS } from "../read/HEADERS.js";
 import type { AnsweredAttempt } from "./AnsweredAttempt.js";
 import type { Attempt } from "./Attempt.js";
-import type { EntryContext } from "./EntryContext.js";
-import type { Exchange } from "./Exchange.js";
-import { HEADERS } from "./HEADERS.js";
-import type { HeldSlot } from "./HeldSlot.js";
 import { sendAttempt } from "./sendAttempt.js";
 
 const BLOCKED_AFTER_FAILURE_MS = 500;
--- a/packages/gypsumstage-entry/src/attemptPeer.ts
+++ b/packages/gypsumstage-entry/src/attempt/attemptPeer.ts
@@ -1,9 +1,9 @@
 import type { HeardRecord } from "@gypsumstage/domain/HeardRecord";
-import type { AnswerHeaders } from "./AnswerHeaders.js";
+import type { AnswerHeaders } from "../answer/AnswerHeaders.js";
+import type { EntryContext } from "../EntryContext.js";
+import type { Exchange } from "../read/Exchange.js";
+import { HEADERS } from "../read/HEADERS.js";
 import type { Attempt } from "./Attempt.js";
-import type { EntryContext } from "./EntryContext.js";
-import type { Exchange } from "./Exchange.js";
-import { HEADERS } from "./HEADERS.js";
 import { sendAttempt } from "./sendAttempt.js";
 
 /**
--- a/packages/gypsumstage-entry/src/attemptWithHedge.ts
+++ b/packages/gypsumstage-entry/src/attempt/attemptWithHedge.ts
@@ -1,10 +1,10 @@
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import type { EntryContext } from "../EntryContext.js";
+import type { HeldSlot } from "../place/HeldSlot.js";
+import type { Exchange } from "../read/Exchange.js";
 import type { Attempt } from "./Attempt.js";
 import { attemptEndpoint } from "./attemptEndpoint.js";
 import { combineAttempts } from "./combineAttempts.js";
-import type { EntryContext } from "./EntryContext.js";
-import type { Exchange } from "./Exchange.js";
-import type { HeldSlot } from "./HeldSlot.js";
 
 const isHedgeable = (exchange: Exchange): boolean =>
     exchange.cls.isIdempotent && exchange.cls.length === "short" && !exchange.body.isPresent;
--- a/packages/gypsumstage-entry/src/isNotSentError.ts
+++ b/packages/gypsumstage-entry/src/attempt/isNotSentError.ts
@@ -1,4 +1,4 @@
-import type { RequestBody } from "./RequestBody.js";
+import type { RequestBody } from "../read/RequestBody.js";
 
 const CONNECT_CODES: ReadonlySet<string> = new Set([
     "UND_ERR_CONNECT_TIMEOUT",
--- a/packages/gypsumstage-entry/src/paceChunks.ts
+++ b/packages/gypsumstage-entry/src/attempt/paceChunks.ts
@@ -1,4 +1,4 @@
-import type { TakeBytes } from "./TakeBytes.js";
+import type { TakeBytes } from "../read/TakeBytes.js";
 
 const MAX_PART_BYTES = 16_384;
 /** What framing adds to a part of a message, in bytes, rounded up. */
--- a/packages/gypsumstage-entry/src/runAttempts.ts
+++ b/packages/gypsumstage-entry/src/attempt/runAttempts.ts
@@ -1,18 +1,18 @@
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import { isRetryAllowed } from "@gypsumstage/steering/isRetryAllowed";
 import { trace } from "@opentelemetry/api";
+import type { AnswerHeaders } from "../answer/AnswerHeaders.js";
+import type { EntryContext } from "../EntryContext.js";
+import { NO_FREE_SLOT } from "../place/NO_FREE_SLOT.js";
+import type { Placement } from "../place/Placement.js";
+import { placeRequest } from "../place/placeRequest.js";
+import type { Exchange } from "../read/Exchange.js";
+import { HEADERS } from "../read/HEADERS.js";
 import type { AnsweredAttempt } from "./AnsweredAttempt.js";
-import type { AnswerHeaders } from "./AnswerHeaders.js";
 import type { Attempt } from "./Attempt.js";
 import { attemptPeer } from "./attemptPeer.js";
 import { attemptWithHedge } from "./attemptWithHedge.js";
 import { combineAttempts } from "./combineAttempts.js";
-import type { EntryContext } from "./EntryContext.js";
-import type { Exchange } from "./Exchange.js";
-import { HEADERS } from "./HEADERS.js";
-import { NO_FREE_SLOT } from "./NO_FREE_SLOT.js";
-import type { Placement } from "./Placement.js";
-import { placeRequest } from "./placeRequest.js";
 
 const MAX_TURNED_AWAY = 2;
 
--- a/packages/gypsumstage-entry/src/sendAttempt.ts
+++ b/packages/gypsumstage-entry/src/attempt/sendAttempt.ts
@@ -2,13 +2,13 @@
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import { propagation, SpanKind, SpanStatusCode, trace } from "@opentelemetry/api";
 import type { Dispatcher } from "undici";
-import type { AnswerHeaders } from "./AnswerHeaders.js";
+import type { AnswerHeaders } from "../answer/AnswerHeaders.js";
+import type { EntryContext } from "../EntryContext.js";
+import { countHeadBytes } from "../read/countHeadBytes.js";
+import type { Exchange } from "../read/Exchange.js";
+import { HEADERS } from "../read/HEADERS.js";
 import type { Attempt } from "./Attempt.js";
 import type { AttemptTarget } from "./AttemptTarget.js";
-import { countHeadBytes } from "./countHeadBytes.js";
-import type { EntryContext } from "./EntryContext.js";
-import type { Exchange } from "./Exchange.js";
-import { HEADERS } from "./HEADERS.js";
 import { isNotSentError } from "./isNotSentError.js";
 import { paceChunks } from "./paceChunks.js";
 
--- a/packages/gypsumstage-entry/src/createEntryServer.ts
+++ b/packages/gypsumstage-entry/src/createEntryServer.ts
@@ -1,6 +1,6 @@
 import Fastify, { type FastifyInstance } from "fastify";
 import type { Socket } from "node:net";
-import { HEADERS } from "./HEADERS.js";
+import { HEADERS } from "./read/HEADERS.js";
 import type { RequestHandler } from "./RequestHandler.js";
 
 const MAX_HEADER_BYTES = 16_384;
--- a/packages/gypsumstage-entry/src/createRequestHandler.ts
+++ b/packages/gypsumstage-entry/src/createRequestHandler.ts
@@ -3,15 +3,15 @@
 import type { Result } from "@gypsumstage/shared/Result";
 import { context as traceContext, propagation, SpanKind, trace } from "@opentelemetry/api";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { createProblem } from "./createProblem.js";
+import { createProblem } from "./answer/createProblem.js";
+import type { EntryReply } from "./answer/EntryReply.js";
+import { writeReply } from "./answer/writeReply.js";
 import type { EntryContext } from "./EntryContext.js";
-import type { EntryReply } from "./EntryReply.js";
-import type { Exchange } from "./Exchange.js";
-import { readExchange } from "./readExchange.js";
+import type { Exchange } from "./read/Exchange.js";
+import { readExchange } from "./read/readExchange.js";
+import type { TakeBytes } from "./read/TakeBytes.js";
 import type { RequestHandler } from "./RequestHandler.js";
 import { serveRequest } from "./serveRequest.js";
-import type { TakeBytes } from "./TakeBytes.js";
-import { writeReply } from "./writeReply.js";
 
 const MS_PER_SECOND = 1_000;
 
--- a/packages/gypsumstage-entry/src/StoredAnswer.ts
+++ b/packages/gypsumstage-entry/src/keyed/StoredAnswer.ts
@@ -1,4 +1,4 @@
-import type { AnswerHeaders } from "./AnswerHeaders.js";
+import type { AnswerHeaders } from "../answer/AnswerHeaders.js";
 
 /** An answer that a home keeps for repeats of a keyed request. */
 export interface StoredAnswer {
--- a/packages/gypsumstage-entry/src/executeKeyed.ts
+++ b/packages/gypsumstage-entry/src/keyed/executeKeyed.ts
@@ -1,17 +1,17 @@
 import { describeError } from "@gypsumstage/shared/describeError";
 import type { IncomingHttpHeaders } from "node:http";
 import { PassThrough, pipeline } from "node:stream";
-import type { AnsweredAttempt } from "./AnsweredAttempt.js";
-import type { Attempt } from "./Attempt.js";
-import { collectBody } from "./collectBody.js";
-import { createProblem } from "./createProblem.js";
-import type { EntryContext } from "./EntryContext.js";
-import type { EntryReply } from "./EntryReply.js";
-import type { Exchange } from "./Exchange.js";
-import { forwardHeaders } from "./forwardHeaders.js";
+import { createProblem } from "../answer/createProblem.js";
+import type { EntryReply } from "../answer/EntryReply.js";
+import { replyFor } from "../answer/replyFor.js";
+import type { AnsweredAttempt } from "../attempt/AnsweredAttempt.js";
+import type { Attempt } from "../attempt/Attempt.js";
+import { runAttempts } from "../attempt/runAttempts.js";
+import type { EntryContext } from "../EntryContext.js";
+import { collectBody } from "../read/collectBody.js";
+import type { Exchange } from "../read/Exchange.js";
+import { forwardHeaders } from "../read/forwardHeaders.js";
 import { KEPT_ANSWER_BYTES } from "./KEPT_ANSWER_BYTES.js";
-import { replyFor } from "./replyFor.js";
-import { runAttempts } from "./runAttempts.js";
 import type { StoredAnswer } from "./StoredAnswer.js";
 
 const settleAnswer = async (
--- a/packages/gypsumstage-entry/src/serveAtHome.ts
+++ b/packages/gypsumstage-entry/src/keyed/serveAtHome.ts
@@ -1,9 +1,9 @@
 import type { KeySettlement } from "@gypsumstage/steering/KeySettlement";
-import { beforeAbort } from "./beforeAbort.js";
-import { createProblem } from "./createProblem.js";
-import type { EntryContext } from "./EntryContext.js";
-import type { EntryReply } from "./EntryReply.js";
-import type { Exchange } from "./Exchange.js";
+import { createProblem } from "../answer/createProblem.js";
+import type { EntryReply } from "../answer/EntryReply.js";
+import { beforeAbort } from "../beforeAbort.js";
+import type { EntryContext } from "../EntryContext.js";
+import type { Exchange } from "../read/Exchange.js";
 import { executeKeyed } from "./executeKeyed.js";
 import type { StoredAnswer } from "./StoredAnswer.js";
 
--- a/packages/gypsumstage-entry/src/serveKeyed.ts
+++ b/packages/gypsumstage-entry/src/keyed/serveKeyed.ts
@@ -1,12 +1,12 @@
-import type { Attempt } from "./Attempt.js";
-import { attemptPeer } from "./attemptPeer.js";
-import { createProblem } from "./createProblem.js";
-import type { EntryContext } from "./EntryContext.js";
-import type { EntryReply } from "./EntryReply.js";
-import type { Exchange } from "./Exchange.js";
-import { findHome } from "./findHome.js";
-import { replyFor } from "./replyFor.js";
-import { runAttempts } from "./runAttempts.js";
+import { createProblem } from "../answer/createProblem.js";
+import type { EntryReply } from "../answer/EntryReply.js";
+import { replyFor } from "../answer/replyFor.js";
+import type { Attempt } from "../attempt/Attempt.js";
+import { attemptPeer } from "../attempt/attemptPeer.js";
+import { runAttempts } from "../attempt/runAttempts.js";
+import type { EntryContext } from "../EntryContext.js";
+import { findHome } from "../place/findHome.js";
+import type { Exchange } from "../read/Exchange.js";
 import { serveAtHome } from "./serveAtHome.js";
 
 const replyFromHome = (attempt: Attempt, exchange: Exchange): EntryReply => {
--- a/packages/gypsumstage-entry/src/KeyHome.ts
+++ b/packages/gypsumstage-entry/src/place/KeyHome.ts
@@ -1,5 +1,5 @@
 import type { HeardRecord } from "@gypsumstage/domain/HeardRecord";
-import type { AnswerHeaders } from "./AnswerHeaders.js";
+import type { AnswerHeaders } from "../answer/AnswerHeaders.js";
 
 /** The entry that alone may run a key. */
 export type KeyHome =
--- a/packages/gypsumstage-entry/src/createSlotQueue.ts
+++ b/packages/gypsumstage-entry/src/place/createSlotQueue.ts
@@ -7,7 +7,7 @@
 import type { EndpointRequest } from "@gypsumstage/steering/EndpointRequest";
 import type { EndpointState } from "@gypsumstage/steering/EndpointState";
 import { EXTRA_DEADLINE_MS } from "@gypsumstage/steering/EXTRA_DEADLINE_MS";
-import type { ClassCaps } from "./ClassCaps.js";
+import type { ClassCaps } from "../classify/ClassCaps.js";
 import { createLongSubsets } from "./createLongSubsets.js";
 import type { HeldSlot } from "./HeldSlot.js";
 import type { SlotAsk } from "./SlotAsk.js";
--- a/packages/gypsumstage-entry/src/findHome.ts
+++ b/packages/gypsumstage-entry/src/place/findHome.ts
@@ -1,12 +1,12 @@
 import { createNonce } from "@gypsumstage/shared/createNonce";
 import { parseKey } from "@gypsumstage/steering/parseKey";
-import type { AnswerHeaders } from "./AnswerHeaders.js";
-import { beforeAbort } from "./beforeAbort.js";
-import { claimKey } from "./claimKey.js";
-import type { EntryContext } from "./EntryContext.js";
-import type { Exchange } from "./Exchange.js";
-import { HEADERS } from "./HEADERS.js";
-import type { KeyClaim } from "./KeyClaim.js";
+import type { AnswerHeaders } from "../answer/AnswerHeaders.js";
+import { beforeAbort } from "../beforeAbort.js";
+import type { EntryContext } from "../EntryContext.js";
+import { claimKey } from "../keyed/claimKey.js";
+import type { KeyClaim } from "../keyed/KeyClaim.js";
+import type { Exchange } from "../read/Exchange.js";
+import { HEADERS } from "../read/HEADERS.js";
 import type { KeyHome } from "./KeyHome.js";
 
 interface Named {
--- a/packages/gypsumstage-entry/src/placeRequest.ts
+++ b/packages/gypsumstage-entry/src/place/placeRequest.ts
@@ -1,8 +1,8 @@
 import type { HeardRecord } from "@gypsumstage/domain/HeardRecord";
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import { choosePeer } from "@gypsumstage/steering/choosePeer";
-import type { EntryContext } from "./EntryContext.js";
-import type { Exchange } from "./Exchange.js";
+import type { EntryContext } from "../EntryContext.js";
+import type { Exchange } from "../read/Exchange.js";
 import { NO_FREE_SLOT } from "./NO_FREE_SLOT.js";
 import type { Placement } from "./Placement.js";
 import type { SlotAsk } from "./SlotAsk.js";
--- a/packages/gypsumstage-entry/src/Exchange.ts
+++ b/packages/gypsumstage-entry/src/read/Exchange.ts
@@ -1,6 +1,6 @@
 import type { RequestClass } from "@gypsumstage/domain/RequestClass";
 import type { Context } from "@opentelemetry/api";
-import type { AnswerHeaders } from "./AnswerHeaders.js";
+import type { AnswerHeaders } from "../answer/AnswerHeaders.js";
 import type { RequestBody } from "./RequestBody.js";
 import type { RequestSource } from "./RequestSource.js";
 
--- a/packages/gypsumstage-entry/src/countHeadBytes.ts
+++ b/packages/gypsumstage-entry/src/read/countHeadBytes.ts
@@ -1,4 +1,4 @@
-import type { AnswerHeaders } from "./AnswerHeaders.js";
+import type { AnswerHeaders } from "../answer/AnswerHeaders.js";
 
 const LINE_BYTES = 4;
 const START_BYTES = 64;
--- a/packages/gypsumstage-entry/src/forwardHeaders.ts
+++ b/packages/gypsumstage-entry/src/read/forwardHeaders.ts
@@ -1,6 +1,6 @@
 import { dropHopByHopHeaders } from "@gypsumstage/shared/dropHopByHopHeaders";
 import type { IncomingHttpHeaders } from "node:http";
-import type { AnswerHeaders } from "./AnswerHeaders.js";
+import type { AnswerHeaders } from "../answer/AnswerHeaders.js";
 
 const SET_BY_SENDER: ReadonlySet<string> = new Set(["host", "traceparent", "tracestate"]);
 const OWN_PREFIX = "gypsumstage-";
--- a/packages/gypsumstage-entry/src/serveRequest.ts
+++ b/packages/gypsumstage-entry/src/serveRequest.ts
@@ -1,10 +1,10 @@
-import { createProblem } from "./createProblem.js";
+import { createProblem } from "./answer/createProblem.js";
+import type { EntryReply } from "./answer/EntryReply.js";
+import { replyFor } from "./answer/replyFor.js";
+import { runAttempts } from "./attempt/runAttempts.js";
 import type { EntryContext } from "./EntryContext.js";
-import type { EntryReply } from "./EntryReply.js";
-import type { Exchange } from "./Exchange.js";
-import { replyFor } from "./replyFor.js";
-import { runAttempts } from "./runAttempts.js";
-import { serveKeyed } from "./serveKeyed.js";
+import { serveKeyed } from "./keyed/serveKeyed.js";
+import type { Exchange } from "./read/Exchange.js";
 
 /**
  * Serves a request whose class is known.
