Keep the platform's names for regions and cold endpoints in platform/ only

Cause: the check of the landing found allowedRegions, a name of the platform's messages, in the domain and the steering; coldRemainingMs was one too but for its unit. Ruled out: the header names of the product's own interface (gypsumstage-deadline-ms, idempotency-key): those are ours and the field's, and the platform's path does not use them.

--- a/packages/gypsumstage-domain/src/traffic/Route.ts
+++ b/packages/gypsumstage-domain/src/traffic/Route.ts
@@ -20,5 +20,5 @@
     /** True when requests for the same object run faster on the endpoint that ran the last one. */
     readonly isSticky: boolean;
     /** Regions in which requests may run; empty allows all. */
-    readonly allowedRegions: readonly string[];
+    readonly permittedRegions: readonly string[];
 }
--- a/packages/gypsumstage-domain/src/traffic/UpstreamEndpoint.ts
+++ b/packages/gypsumstage-domain/src/traffic/UpstreamEndpoint.ts
@@ -12,7 +12,7 @@
     /** True once it has announced that it leaves. */
     readonly isDraining: boolean;
     /** How much longer it stays cold, counted from when the entry was written, in milliseconds. */
-    readonly coldRemainingMs: number;
+    readonly coldForMs: number;
     /** Identifies the start of this run; compare for equality only. */
     readonly startedAt: number;
 }
--- a/packages/gypsumstage-instance/src/__tests__/unit/createHomeShares.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createHomeShares.test.ts
@@ -17,7 +17,7 @@
     address: "10.0.0.1:80",
     slots: 6,
     isDraining: false,
-    coldRemainingMs: 0,
+    coldForMs: 0,
     startedAt: 0,
 });
 
--- a/packages/gypsumstage-instance/src/findColdSpans.ts
+++ b/packages/gypsumstage-instance/src/findColdSpans.ts
@@ -21,9 +21,9 @@
         const isNew = before.isComplete && (known === undefined || known.startedAt !== endpoint.startedAt);
         const isFreed = before.evacuated.has(endpoint.dataCentre)
             && !after.evacuated.has(endpoint.dataCentre);
-        const announcedMs = known?.coldRemainingMs === endpoint.coldRemainingMs
+        const announcedMs = known?.coldForMs === endpoint.coldForMs
             ? 0
-            : endpoint.coldRemainingMs;
+            : endpoint.coldForMs;
         const spanMs = Math.max(announcedMs, isNew || isFreed ? coldStartMs : 0);
         if (spanMs > 0) {
             spans.set(id, spanMs + MARGIN_MS);
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/createEndpoint.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/createEndpoint.ts
@@ -15,7 +15,7 @@
     region: "kutch",
     slots: 6,
     isDraining: false,
-    coldRemainingMs: 0,
+    coldForMs: 0,
     startedAt: 1,
     ...fields,
 });
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/createRoute.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/createRoute.ts
@@ -17,6 +17,6 @@
     targets: [{ service: "desk", weight: 1 }],
     maxAttempts: 2,
     isSticky: true,
-    allowedRegions: [],
+    permittedRegions: [],
     ...fields,
 });
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/peers.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/peers.test.ts
@@ -104,10 +104,10 @@
 
 test("the home regions of a host are those in which all its bound routes may be served", () => {
     const routes = [
-        createRoute({ allowedRegions: ["kutch", "bharuch"] }),
-        createRoute({ pathPrefix: "/b/", allowedRegions: ["bharuch", "bhavnagar"] }),
+        createRoute({ permittedRegions: ["kutch", "bharuch"] }),
+        createRoute({ pathPrefix: "/b/", permittedRegions: ["bharuch", "bhavnagar"] }),
         createRoute({ pathPrefix: "/c/" }),
-        createRoute({ host: "other.example", allowedRegions: ["kutch"] }),
+        createRoute({ host: "other.example", permittedRegions: ["kutch"] }),
     ];
     assert.deepEqual(listHomeRegions(routes, "desk.example"), ["bharuch"]);
     assert.deepEqual(listHomeRegions(routes, "unknown.example"), []);
--- a/packages/gypsumstage-steering/src/traffic/listHomeRegions.ts
+++ b/packages/gypsumstage-steering/src/traffic/listHomeRegions.ts
@@ -9,8 +9,8 @@
  */
 export const listHomeRegions = (routes: readonly Route[], host: string): readonly string[] => {
     const bound = routes
-        .filter(route => route.host === host && route.allowedRegions.length > 0)
-        .map(route => route.allowedRegions);
+        .filter(route => route.host === host && route.permittedRegions.length > 0)
+        .map(route => route.permittedRegions);
     const [first, ...others] = bound;
     return (first ?? []).filter(region => others.every(regions => regions.includes(region)));
 };
--- a/packages/gypsumstage-steering/src/traffic/listUsableEndpoints.ts
+++ b/packages/gypsumstage-steering/src/traffic/listUsableEndpoints.ts
@@ -19,6 +19,6 @@
     endpoints.filter(endpoint =>
         !endpoint.isDraining
         && !evacuated.has(endpoint.dataCentre)
-        && (route.allowedRegions.length === 0 || route.allowedRegions.includes(endpoint.region))
+        && (route.permittedRegions.length === 0 || route.permittedRegions.includes(endpoint.region))
         && !isLeaving(endpoint)
     );
