Let npx find the binaries that the README lists

Cause: the bin entries of the four packages named dist/main.js, which the compiler writes after the installation. npm links only files that exist, so a clean checkout had no link in node_modules/.bin, before and after the build, and npx looked for the names in the registry.

Ruled out: npm rebuild after the build also makes the links, but only for those who know of it.

--- /dev/null
+++ b/packages/gypsumstage-ctl/bin/gypsumctl.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/main.js";
--- a/packages/gypsumstage-standins/src/demo/main.ts
+++ b/packages/gypsumstage-standins/src/demo/main.ts
@@ -27,8 +27,8 @@
         `  curl -i http://${first.entry}/berths/7`,
         `  curl http://${first.metrics}/metrics`,
         `  curl http://${first.steer}/v1/status`,
-        `  node packages/gypsumstage-ctl/dist/main.js status --admin ${first.steer}`,
-        `  node packages/gypsumstage-ctl/dist/main.js explain GET /berths/7 --admin ${first.steer}`,
+        `  npx gypsumctl status --admin ${first.steer}`,
+        `  npx gypsumctl explain GET /berths/7 --admin ${first.steer}`,
         "",
         "Press Ctrl-C to stop it.",
     ].join("\n");
