--- a/packages/gypsumstage-steer/src/changeConfiguration.ts
+++ b/packages/gypsumstage-steer/src/changeConfiguration.ts
@@ -12,13 +12,13 @@
 import type { ConfigurationChange } from "./ConfigurationChange.js";
 import type { ConfigurationHead } from "./ConfigurationHead.js";
 import { HEAD_KEY } from "./HEAD_KEY.js";
+import { MAX_HISTORY_ENTRIES } from "./MAX_HISTORY_ENTRIES.js";
 import { readStoredConfiguration } from "./readStoredConfiguration.js";
 import type { SteerContext } from "./SteerContext.js";
 import { storeConfiguration } from "./storeConfiguration.js";
 
 /** Maximum attempts of one change while other writers change the head at the same time. */
 const MAX_ATTEMPTS = 6;
-const MAX_HISTORY_ENTRIES = 50;
 
 interface CurrentState {
     readonly head: ConfigurationHead | undefined;
--- a/packages/gypsumstage-steer/src/restoreHead.ts
+++ b/packages/gypsumstage-steer/src/restoreHead.ts
@@ -2,11 +2,10 @@
 import { createUniqueId } from "@gypsumstage/shared/createUniqueId";
 import type { ConfigurationHead } from "./ConfigurationHead.js";
 import { HEAD_KEY } from "./HEAD_KEY.js";
+import { MAX_HISTORY_ENTRIES } from "./MAX_HISTORY_ENTRIES.js";
 import type { SteerContext } from "./SteerContext.js";
 import { storeConfiguration } from "./storeConfiguration.js";
 
-const MAX_HISTORY_ENTRIES = 50;
-
 /**
  * Writes the local configuration back to a platform that has lost it, for example after a restore from an older
  * backup. The generation is kept: an accepted configuration remains accepted.
--- a/packages/gypsumstage-steering/src/PLAN_EXPIRY_WAIT_MS.ts
+++ b/packages/gypsumstage-steering/src/PLAN_EXPIRY_WAIT_MS.ts
@@ -1,7 +1,6 @@
+import { CLOCK_RATE_MARGIN_FACTOR } from "./CLOCK_RATE_MARGIN_FACTOR.js";
 import { PLAN_LIFETIME_MS } from "./PLAN_LIFETIME_MS.js";
 
-const CLOCK_RATE_MARGIN_FACTOR = 1.05;
-
 /**
  * Time after which no other process acts on an earlier plan any more. Longer than the lifetime of a plan, because
  * the clocks of two instances may run at slightly different rates.
--- a/packages/gypsumstage-steering/src/updatePlaces.ts
+++ b/packages/gypsumstage-steering/src/updatePlaces.ts
@@ -1,3 +1,4 @@
+import { CLOCK_RATE_MARGIN_FACTOR } from "./CLOCK_RATE_MARGIN_FACTOR.js";
 import { EXTRA_SLOT_DEADLINE_MS } from "./EXTRA_SLOT_DEADLINE_MS.js";
 import { FRESH_RECORD_MAX_AGE_MS } from "./FRESH_RECORD_MAX_AGE_MS.js";
 import { MEMBER_LIST_MAX_LAG_MS } from "./MEMBER_LIST_MAX_LAG_MS.js";
@@ -6,8 +7,9 @@
 import { PLAN_LIFETIME_MS } from "./PLAN_LIFETIME_MS.js";
 
 // After the maximum lag of the list, the lifetime of a list and the longest request on slots of unoccupied places, no
-// process uses the slots of this place any more; 5 % for clocks that run at different rates.
-const TAKEOVER_WAIT_MS = (MEMBER_LIST_MAX_LAG_MS + PLAN_LIFETIME_MS + EXTRA_SLOT_DEADLINE_MS) * 1.05;
+// process uses the slots of this place any more.
+const TAKEOVER_WAIT_MS = CLOCK_RATE_MARGIN_FACTOR
+    * (MEMBER_LIST_MAX_LAG_MS + PLAN_LIFETIME_MS + EXTRA_SLOT_DEADLINE_MS);
 
 const listOtherPlaces = (input: PlaceInput): readonly string[] =>
     Object.entries(input.view.configuration?.intent.places ?? {})
