End attempts whose response never ends, in the head or in the body

What callers would see: an endpoint that sends a status line, empty lines, interim responses or a chunk extension without end kept its attempt until the time-out, at full speed of the link; bodies of tiny chunks filled the memory of the instance.

Cause: the client library limits header fields only. It neither reports nor limits the other parts of a head and the framing of chunks, and its time-outs are off. The limit of 16 MiB a body was one for each response, without the objects that hold its pieces, so responses in chunks of one byte could take many times that (by reckoning).

Change: the bytes that arrive on the connection are counted, as well as the body. A cut attempt is broken, like a reset: safe requests are retried, others get 502.

Ruled out: time-outs of the library (an endless response always makes progress); a smaller limit a body (legitimate answers would fail).

--- a/packages/gypsumstage-instance/src/upstream/UpstreamConnection.ts
+++ b/packages/gypsumstage-instance/src/upstream/UpstreamConnection.ts
@@ -5,4 +5,8 @@
     readonly client: Client;
     /** True once the connection failed or was reset instead of being closed properly. */
     readonly isBroken: () => boolean;
+    /** Bytes received so far, headers and framing included; 0 before the connection is open. */
+    readonly receivedBytes: () => number;
+    /** Sets the function to call each time that bytes were received, before they are parsed. */
+    readonly setReceiveListener: (onReceive: () => void) => void;
 }
--- a/packages/gypsumstage-instance/src/upstream/createUpstreamPool.ts
+++ b/packages/gypsumstage-instance/src/upstream/createUpstreamPool.ts
@@ -1,8 +1,12 @@
+import { createResponseMemory } from "./createResponseMemory.js";
 import { openConnection } from "./openConnection.js";
 import { sendRequest } from "./sendRequest.js";
 import type { UpstreamConnection } from "./UpstreamConnection.js";
 import type { UpstreamPool } from "./UpstreamPool.js";
 
+/** Limit of all responses being received; leaves room for the process in the smallest instances of 250 MB. */
+const RESPONSE_MEMORY_BYTES = 67_108_864;
+
 /**
  * Creates a pool of connections to endpoints. The most recently used connection is reused first, so that the
  * others reach their idle timeout and close. A connection is reused only after a complete response.
@@ -11,6 +15,7 @@
  */
 export const createUpstreamPool = (): UpstreamPool => {
     const idle = new Map<string, readonly UpstreamConnection[]>();
+    const memory = createResponseMemory(RESPONSE_MEMORY_BYTES);
     const setIdle = (address: string, connections: readonly UpstreamConnection[]): void => {
         if (connections.length === 0) {
             idle.delete(address);
@@ -41,7 +46,7 @@
     return {
         send: (address, req) => {
             const connection = acquire(address);
-            const attempt = sendRequest(connection, req);
+            const attempt = sendRequest(connection, req, memory);
             void attempt.outcome.then(outcome => {
                 if (outcome.kind === "answered") {
                     release(address, connection);
--- a/packages/gypsumstage-instance/src/upstream/openConnection.ts
+++ b/packages/gypsumstage-instance/src/upstream/openConnection.ts
@@ -1,3 +1,4 @@
+import type { Socket } from "node:net";
 import { buildConnector, Client } from "undici";
 import { registerAbnormalCloseListener } from "./registerAbnormalCloseListener.js";
 import type { UpstreamConnection } from "./UpstreamConnection.js";
@@ -18,12 +19,16 @@
  */
 export const openConnection = (address: string): UpstreamConnection => {
     let isBroken = false;
+    let socket: Socket | undefined;
+    let onReceive = (): void => undefined;
     const connector = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
     const client = new Client(`http://${address}`, {
         connect: (options, callback) =>
             connector(options, (...result) => {
                 if (result[1]) {
-                    registerAbnormalCloseListener(result[1], () => {
+                    socket = result[1];
+                    socket.on("readable", () => onReceive());
+                    registerAbnormalCloseListener(socket, () => {
                         isBroken = true;
                     });
                 }
@@ -36,5 +41,12 @@
         keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
         pipelining: 1,
     });
-    return { client, isBroken: () => isBroken };
+    return {
+        client,
+        isBroken: () => isBroken,
+        receivedBytes: () => socket?.bytesRead ?? 0,
+        setReceiveListener: next => {
+            onReceive = next;
+        },
+    };
 };
--- a/packages/gypsumstage-instance/src/upstream/sendRequest.ts
+++ b/packages/gypsumstage-instance/src/upstream/sendRequest.ts
@@ -1,34 +1,37 @@
 import { describeError } from "@gypsumstage/shared/describeError";
-import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
 import type { AttemptOutcome } from "./AttemptOutcome.js";
+import { createResponseCollector } from "./createResponseCollector.js";
+import type { ResponseMemory } from "./ResponseMemory.js";
 import type { UpstreamAttempt } from "./UpstreamAttempt.js";
 import type { UpstreamConnection } from "./UpstreamConnection.js";
 import type { UpstreamRequest } from "./UpstreamRequest.js";
 
-const STATUS_OK = 200;
-/** Largest response body that is buffered. */
-const MAX_RESPONSE_BYTES = 16_777_216;
-
 /**
  * Sends a request on a connection and buffers the complete response, so that a truncated response is never relayed as
- * if it were complete.
+ * if it were complete. A response that exceeds a limit breaks the attempt at once.
  *
  * @param connection - an idle connection
  * @param req - the request
+ * @param memory - memory that the responses being received share
  * @returns the attempt
  */
-export const sendRequest = (connection: UpstreamConnection, req: UpstreamRequest): UpstreamAttempt => {
+export const sendRequest = (
+    connection: UpstreamConnection,
+    req: UpstreamRequest,
+    memory: ResponseMemory,
+): UpstreamAttempt => {
     let controller: Dispatcher.DispatchController | undefined;
     let isAborted = false;
     let settle: (outcome: AttemptOutcome) => void;
     const outcome = new Promise<AttemptOutcome>(resolve => {
         settle = resolve;
     });
-    let status = 0;
-    let headers: IncomingHttpHeaders = {};
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const collector = createResponseCollector(connection, memory, reason => {
+        settle({ kind: "broken", reason });
+        controller?.abort(new Error(reason));
+    });
+    void outcome.then(collector.close);
     const abort = (): void => {
         isAborted = true;
         settle({ kind: "aborted", wasSent: controller !== undefined });
@@ -43,24 +46,13 @@
             }
             controller = started;
         },
-        onResponseStart: (_controller, statusCode, fields) => {
-            if (statusCode >= STATUS_OK) {
-                status = statusCode;
-                headers = fields;
-            }
-        },
-        onResponseData: (current, chunk) => {
-            size += chunk.length;
-            chunks.push(chunk);
-            if (size > MAX_RESPONSE_BYTES) {
-                current.abort(new Error("answer too large"));
-            }
-        },
+        onResponseStart: (_controller, statusCode, fields) => collector.addHead(statusCode, fields),
+        onResponseData: (_controller, piece) => collector.addPiece(piece),
         onResponseEnd: () =>
             settle(
                 connection.isBroken()
                     ? { kind: "broken", reason: "reset-in-answer" }
-                    : { kind: "answered", status, headers, body: Buffer.concat(chunks) },
+                    : collector.finish(),
             ),
         onResponseError: (_controller, err) => {
             const kind = controller === undefined ? "not-sent" : "broken";
