Log and measure how changes reach an instance

Change: topic-pulled and topic-pull-failed have the revision before, the records and the time; store-follow-started and store-follow-stopped name the reader; metrics for fetches, for the time between two reports of a peer and for the bytes of reports. No decision changes.

Ruled out: a line for each report (83 a second at 84 instances).

--- a/packages/gypsumstage-instance/src/InstanceMetrics.ts
+++ b/packages/gypsumstage-instance/src/InstanceMetrics.ts
@@ -9,5 +9,10 @@
     /** Records the time from a request's arrival to its first attempt at an endpoint. */
     readonly recordWait: (service: string, waitedMs: number) => void;
     readonly recordAttempt: (service: string, classification: string, tookMs: number) => void;
+    /** Records a fetch of a topic from a peer: what came of it, the records received and the time it took. */
+    readonly recordTopicPull: (topic: string, result: string, records: number, tookMs: number) => void;
+    /** Records the time between two reports of the same peer. */
+    readonly recordReportGap: (gapMs: number) => void;
+    readonly countReportBytes: (direction: "sent" | "received", bytes: number) => void;
     readonly countStoreCall: (topic: string, call: "list" | "watch", result: string) => void;
 }
--- a/packages/gypsumstage-instance/src/createInstanceMetrics.ts
+++ b/packages/gypsumstage-instance/src/createInstanceMetrics.ts
@@ -93,6 +93,28 @@
         labelNames: ["topic", "call", "result"],
         registers: [registry],
     });
+    const pulls = createHistogram(
+        "gypsumstage_topic_pull_seconds",
+        "Time of fetches of a topic from another instance, by topic and what came of them",
+        ["topic", "result"],
+    );
+    const pulledRecords = new Counter({
+        name: "gypsumstage_topic_pull_records_total",
+        help: "Records received in fetches of a topic from other instances",
+        labelNames: ["topic"],
+        registers: [registry],
+    });
+    const reportGaps = createHistogram(
+        "gypsumstage_report_gap_seconds",
+        "Time between two reports received from the same instance",
+        [],
+    );
+    const reportBytes = new Counter({
+        name: "gypsumstage_report_bytes_total",
+        help: "Bytes of reports exchanged with other instances",
+        labelNames: ["direction"],
+        registers: [registry],
+    });
     createStateGauge(registry, readGauges);
     createRetriesGauge(registry, readGauges);
     return {
@@ -106,6 +128,12 @@
         recordWait: (service, waitedMs) => waits.observe({ service }, waitedMs / MS_PER_SECOND),
         recordAttempt: (service, classification, tookMs) =>
             attempts.observe({ service, verdict: classification }, tookMs / MS_PER_SECOND),
+        recordTopicPull: (topic, result, records, tookMs) => {
+            pulls.observe({ topic, result }, tookMs / MS_PER_SECOND);
+            pulledRecords.inc({ topic }, records);
+        },
+        recordReportGap: gapMs => reportGaps.observe(gapMs / MS_PER_SECOND),
+        countReportBytes: (direction, bytes) => reportBytes.inc({ direction }, bytes),
         countStoreCall: (topic, call, result) => storeCalls.inc({ topic, call, result }),
     };
 };
--- a/packages/gypsumstage-instance/src/peers/registerTopicPull.ts
+++ b/packages/gypsumstage-instance/src/peers/registerTopicPull.ts
@@ -1,5 +1,6 @@
 import type { Topic } from "@gypsumstage/domain/traffic/Topic";
 import type { Log } from "@gypsumstage/shared/Log";
+import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import type { RpcClient } from "@gypsumstage/shared/RpcClient";
 import { startPeriodicTask } from "@gypsumstage/shared/startPeriodicTask";
 import type { Store } from "@gypsumstage/shared/Store";
@@ -7,6 +8,7 @@
 import type { PeerState } from "@gypsumstage/steering/traffic/PeerState";
 import type { TopicEvent } from "@gypsumstage/steering/traffic/TopicEvent";
 import type { TopicState } from "@gypsumstage/steering/traffic/TopicState";
+import type { InstanceMetrics } from "../InstanceMetrics.js";
 import type { TopicSnapshot } from "./TopicSnapshot.js";
 
 /** Pause between two checks for a peer with a more recent copy of the topic. */
@@ -21,6 +23,7 @@
  * @param location - data centre and region of this instance; near peers are preferred
  * @param live - returns the live peers
  * @param rpc - client for RPC calls to peers
+ * @param metrics - receives the result, the size and the duration of each fetch
  * @param log - receives each fetch and each failure
  * @returns the function that stops the checks
  */
@@ -30,6 +33,7 @@
     location: { readonly dataCentre: string; readonly region: string; },
     live: () => readonly PeerState[],
     rpc: RpcClient,
+    metrics: Pick<InstanceMetrics, "recordTopicPull">,
     log: Log,
 ): () => void => {
     const pull = async (): Promise<void> => {
@@ -38,13 +42,26 @@
             return;
         }
         const { name, internalAddress } = peer.report;
+        const startedAtMs = monotonicNow();
+        const fromRevision = topicStore.get().revision;
         const res = await rpc.call<TopicSnapshot>(internalAddress, "topic.read", { topic });
+        const tookMs = Math.round(monotonicNow() - startedAtMs);
         if (!res.ok) {
-            log("warn", "topic-pull-failed", { topic, peer: name, error: res.error });
+            metrics.recordTopicPull(topic, res.error.kind, 0, tookMs);
+            log("warn", "topic-pull-failed", { topic, peer: name, error: res.error, fromRevision, tookMs });
             return;
         }
         topicStore.dispatch({ kind: "listed", ...res.value, retainUntilMs: undefined });
-        log("info", "topic-pulled", { topic, peer: name, revision: res.value.revision });
+        const { revision, records } = res.value;
+        metrics.recordTopicPull(topic, "ok", records.length, tookMs);
+        log("info", "topic-pulled", {
+            topic,
+            peer: name,
+            fromRevision,
+            revision,
+            records: records.length,
+            tookMs,
+        });
     };
     return startPeriodicTask(pull, () => PULL_CHECK_INTERVAL_MS, err => {
         log("error", "topic-pull-failed", { topic, reason: String(err) });
--- a/packages/gypsumstage-instance/src/peers/startPeerExchange.ts
+++ b/packages/gypsumstage-instance/src/peers/startPeerExchange.ts
@@ -8,6 +8,7 @@
 import type { PeerTable } from "@gypsumstage/steering/traffic/PeerTable";
 import { recordPeerReport } from "@gypsumstage/steering/traffic/recordPeerReport";
 import { createSocket, type Socket } from "node:dgram";
+import type { InstanceMetrics } from "../InstanceMetrics.js";
 import { parseReport } from "./parseReport.js";
 import type { PeerExchange } from "./PeerExchange.js";
 
@@ -29,6 +30,7 @@
  * @param internalAddress - `IP:port` at which this instance receives reports
  * @param seeds - internal addresses that get reports while no report of a peer is recorded
  * @param createReport - creates this instance's report, given the internal addresses of its live peers
+ * @param metrics - receives the bytes of reports and the time between reports of a peer
  * @param log - receives found and lost peers, malformed reports and socket errors
  * @returns the exchange, once the socket is bound
  */
@@ -36,6 +38,7 @@
     internalAddress: string,
     seeds: readonly string[],
     createReport: (peers: readonly string[]) => PeerReport,
+    metrics: Pick<InstanceMetrics, "countReportBytes" | "recordReportGap">,
     log: Log,
 ): Promise<PeerExchange> => {
     const ownAddress = parseAddress(internalAddress);
@@ -82,8 +85,14 @@
             log("warn", "peer-report-malformed", { reason: report.error.reason });
             return;
         }
+        const nowMs = monotonicNow();
+        const before = peers.get(report.value.name);
+        if (before !== undefined) {
+            metrics.recordReportGap(nowMs - before.receivedAtMs);
+        }
+        metrics.countReportBytes("received", bytes.length);
         report.value.peers.forEach(address => unconfirmedAddresses.add(address));
-        peers = recordPeerReport(peers, report.value, monotonicNow());
+        peers = recordPeerReport(peers, report.value, nowMs);
     });
     socket.on("error", err => log("warn", "peer-socket-failed", { reason: describeError(err) }));
     const sendReports = (): void => {
@@ -94,6 +103,7 @@
         for (const address of new Set([...peerAddresses, ...unconfirmedAddresses])) {
             const target = parseAddress(address);
             if (target !== undefined && address !== internalAddress) {
+                metrics.countReportBytes("sent", bytes.length);
                 socket.send(bytes, target.port, target.host, err => {
                     if (err) {
                         log("debug", "peer-report-not-sent", { to: address, reason: describeError(err) });
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -88,11 +88,6 @@
         placed: regionShiftLimiter.placed(),
         peers: peerAddresses,
     });
-    const peers = await startPeerExchange(cfg.listen.internal, cfg.seeds, createReport, log);
-    const readyInstances = (): readonly PeerView[] => [
-        ...(isReady() ? [{ ...cfg, address: cfg.listen.requests }] : []),
-        ...peers.live().map(peer => peer.report).filter(report => report.isReady),
-    ];
     const metrics = createInstanceMetrics(() => ({
         policyVersion: fleet.view().policy?.version,
         endpoints: fleet.view().endpoints.size,
@@ -101,6 +96,11 @@
         storeAgeMs: findStoreAge(storeAgeMs(), peers.live(), monotonicNow()),
         retriesLeft: retryBudget.remaining(),
     }));
+    const peers = await startPeerExchange(cfg.listen.internal, cfg.seeds, createReport, metrics, log);
+    const readyInstances = (): readonly PeerView[] => [
+        ...(isReady() ? [{ ...cfg, address: cfg.listen.requests }] : []),
+        ...peers.live().map(peer => peer.report).filter(report => report.isReady),
+    ];
     const getColdRate = (service: string): number =>
         fleet.view().policy?.services.find(each => each.name === service)?.coldRequestsPerSecond ?? 1;
     const ctx: RequestContext = {
@@ -150,6 +150,7 @@
         countStoreCalls(platform.store, metrics.countStoreCall),
         peers,
         rpc,
+        metrics,
         log,
     );
     storeAgeMs = followedTopics.storeAgeMs;
--- a/packages/gypsumstage-instance/src/store/followTopics.ts
+++ b/packages/gypsumstage-instance/src/store/followTopics.ts
@@ -2,9 +2,11 @@
 import type { Log } from "@gypsumstage/shared/Log";
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import type { RpcClient } from "@gypsumstage/shared/RpcClient";
+import { findStoreAge } from "@gypsumstage/steering/traffic/findStoreAge";
 import { shouldFollowStore } from "@gypsumstage/steering/traffic/shouldFollowStore";
 import type { FleetState } from "../FleetState.js";
 import type { InstanceConfig } from "../InstanceConfig.js";
+import type { InstanceMetrics } from "../InstanceMetrics.js";
 import type { PeerExchange } from "../peers/PeerExchange.js";
 import { registerTopicPull } from "../peers/registerTopicPull.js";
 import type { FleetStore } from "./FleetStore.js";
@@ -26,6 +28,7 @@
  * @param store - the platform's store
  * @param peers - the reports of the other instances
  * @param rpc - client for RPC calls to peers
+ * @param metrics - receives the fetches from peers
  * @param log - receives loss and recovery of the store, and what is fetched from peers
  * @returns the handle on the followed topics
  */
@@ -35,15 +38,28 @@
     store: FleetStore,
     peers: PeerExchange,
     rpc: RpcClient,
+    metrics: Pick<InstanceMetrics, "recordTopicPull">,
     log: Log,
 ): FollowedTopics => {
-    const shouldFollow = (): boolean =>
-        shouldFollowStore(cfg, peers.live(), monotonicNow(), MAX_PEER_STORE_AGE_MS);
+    let isFollowing = false;
+    const shouldFollow = (): boolean => {
+        const livePeers = peers.live();
+        const nowMs = monotonicNow();
+        const isNext = shouldFollowStore(cfg, livePeers, nowMs, MAX_PEER_STORE_AGE_MS);
+        if (isNext !== isFollowing) {
+            isFollowing = isNext;
+            log("info", isNext ? "store-follow-started" : "store-follow-stopped", {
+                livePeers: livePeers.length,
+                peerStoreAgeMs: findStoreAge(undefined, livePeers, nowMs),
+            });
+        }
+        return isNext;
+    };
     const followers = TOPICS.map(topic =>
         registerTopicFollower(store, topic, fleet.topics[topic], shouldFollow, WATCH_TIMEOUT_MS, log)
     );
     const stopPulls = TOPICS.map(topic =>
-        registerTopicPull(topic, fleet.topics[topic], cfg, peers.live, rpc, log)
+        registerTopicPull(topic, fleet.topics[topic], cfg, peers.live, rpc, metrics, log)
     );
     return {
         storeAgeMs: () => {
