--- /dev/null
+++ b/packages/gypsumstage-instance/src/__tests__/unit/registerTopicPull.test.ts
@@ -0,0 +1,61 @@
+import { createStore } from "@gypsumstage/shared/createStore";
+import { failure } from "@gypsumstage/shared/failure";
+import type { RpcClient } from "@gypsumstage/shared/RpcClient";
+import { sleep } from "@gypsumstage/shared/sleep";
+import { success } from "@gypsumstage/shared/success";
+import { EMPTY_TOPIC } from "@gypsumstage/steering/traffic/EMPTY_TOPIC";
+import type { PeerState } from "@gypsumstage/steering/traffic/PeerState";
+import type { TopicEvent } from "@gypsumstage/steering/traffic/TopicEvent";
+import type { TopicState } from "@gypsumstage/steering/traffic/TopicState";
+import { updateTopic } from "@gypsumstage/steering/traffic/updateTopic";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { registerTopicPull } from "../../peers/registerTopicPull.js";
+
+const peer = (name: string, region: string): PeerState => ({
+    receivedAtMs: 0,
+    report: {
+        name,
+        dataCentre: `${region}-a`,
+        region,
+        address: `${name}:1`,
+        incarnation: "i",
+        internalAddress: `${name}:2`,
+        isReady: true,
+        topics: { policy: { revision: 9, count: 0 } },
+        storeAgeMs: undefined,
+        inFlight: {},
+        demand: {},
+        placed: {},
+        peers: [],
+    },
+});
+
+test("after a failed fetch the next one goes to another instance that has the same version", async () => {
+    const topicStore = createStore<TopicState, TopicEvent>(EMPTY_TOPIC, updateTopic);
+    const calls: string[] = [];
+    const rpc: RpcClient = {
+        call: <Value>(address: string) => {
+            calls.push(address);
+            return Promise.resolve(
+                address === "near:2"
+                    ? failure({ kind: "rpc-unreachable", address, reason: "timeout" })
+                    : success({ revision: 9, records: [] } as Value),
+            );
+        },
+        close: () => Promise.resolve(),
+    };
+    const stop = registerTopicPull(
+        "policy",
+        topicStore,
+        { dataCentre: "kutch-a", region: "kutch" },
+        () => [peer("near", "kutch"), peer("far", "bharuch")],
+        rpc,
+        { recordTopicPull: () => undefined },
+        () => undefined,
+    );
+    await sleep(600);
+    stop();
+    assert.deepEqual(calls, ["near:2", "far:2"]);
+    assert.equal(topicStore.get().revision, 9);
+});
