Fetch the changes of a topic, not the whole topic

Cause: each change of one record made every instance fetch all records of the topic, 90 KB for 372 endpoints, from one instance that was near. 72 of 84 instances have links of 7 Mbit/s: eight copies fill such a link for the 0.8 s after which a fetch is given up. Class: cost of spreading a change grows with the size of the state times the size of the fleet.

Change: an instance asks for what changed since the revision up to which its copy is complete. The other one sends the records with a later revision, and the removed names; if it does not know all removals since then (it listed the store later), it sends the names of all records in their place.

Ruled out: a larger time-out (the copies would still fill the link).

Why it works: an update's size follows what changed.

--- /dev/null
+++ b/packages/gypsumstage-instance/src/peers/TopicQuery.ts
@@ -0,0 +1,8 @@
+import type { Topic } from "@gypsumstage/domain/traffic/Topic";
+
+/** Parameters of the RPC method `topic.read`. */
+export interface TopicQuery {
+    readonly topic: Topic;
+    /** Revision up to which the requesting instance's copy is complete; absent when it has none. */
+    readonly since?: number | undefined;
+}
--- a/packages/gypsumstage-instance/src/peers/registerTopicPull.ts
+++ b/packages/gypsumstage-instance/src/peers/registerTopicPull.ts
@@ -8,8 +8,10 @@
 import type { PeerState } from "@gypsumstage/steering/traffic/PeerState";
 import type { TopicEvent } from "@gypsumstage/steering/traffic/TopicEvent";
 import type { TopicState } from "@gypsumstage/steering/traffic/TopicState";
+import type { TopicUpdate } from "@gypsumstage/steering/traffic/TopicUpdate";
+import { toTopicEvent } from "@gypsumstage/steering/traffic/toTopicEvent";
 import type { InstanceMetrics } from "../InstanceMetrics.js";
-import type { TopicSnapshot } from "./TopicSnapshot.js";
+import type { TopicQuery } from "./TopicQuery.js";
 
 /** Pause between two checks for a peer with a more recent copy of the topic. */
 const PULL_CHECK_INTERVAL_MS = 100;
@@ -44,14 +46,15 @@
         const { name, internalAddress } = peer.report;
         const startedAtMs = monotonicNow();
         const fromRevision = topicStore.get().revision;
-        const res = await rpc.call<TopicSnapshot>(internalAddress, "topic.read", { topic });
+        const query: TopicQuery = { topic, since: fromRevision };
+        const res = await rpc.call<TopicUpdate>(internalAddress, "topic.read", query);
         const tookMs = Math.round(monotonicNow() - startedAtMs);
         if (!res.ok) {
             metrics.recordTopicPull(topic, res.error.kind, 0, tookMs);
             log("warn", "topic-pull-failed", { topic, peer: name, error: res.error, fromRevision, tookMs });
             return;
         }
-        topicStore.dispatch({ kind: "listed", ...res.value, retainUntilMs: undefined });
+        topicStore.dispatch(toTopicEvent(res.value));
         const { revision, records } = res.value;
         metrics.recordTopicPull(topic, "ok", records.length, tookMs);
         log("info", "topic-pulled", {
--- a/packages/gypsumstage-instance/src/startListeners.ts
+++ b/packages/gypsumstage-instance/src/startListeners.ts
@@ -1,19 +1,20 @@
-import type { Topic } from "@gypsumstage/domain/traffic/Topic";
 import { createHttpServer } from "@gypsumstage/shared/createHttpServer";
 import { invariant } from "@gypsumstage/shared/invariant";
 import { parseAddress } from "@gypsumstage/shared/parseAddress";
 import { registerMetrics } from "@gypsumstage/shared/registerMetrics";
 import { registerRpc } from "@gypsumstage/shared/registerRpc";
 import { chooseInstances } from "@gypsumstage/steering/traffic/chooseInstances";
+import { createTopicUpdate } from "@gypsumstage/steering/traffic/createTopicUpdate";
 import { listPermittedRegions } from "@gypsumstage/steering/traffic/listPermittedRegions";
 import type { PeerView } from "@gypsumstage/steering/traffic/PeerView";
+import type { TopicUpdate } from "@gypsumstage/steering/traffic/TopicUpdate";
 import type { Server } from "node:http";
 import type { Registry } from "prom-client";
 import type { FleetState } from "./FleetState.js";
 import type { InstanceConfig } from "./InstanceConfig.js";
 import { registerLookupRoute } from "./lookup/registerLookupRoute.js";
 import { registerReadinessRoute } from "./lookup/registerReadinessRoute.js";
-import type { TopicSnapshot } from "./peers/TopicSnapshot.js";
+import type { TopicQuery } from "./peers/TopicQuery.js";
 import type { PlatformAdapter } from "./PlatformAdapter.js";
 
 /** State and settings that the servers of an instance use. */
@@ -40,10 +41,9 @@
     const { listen } = deps.cfg();
     const internal = createHttpServer(listen.internal);
     registerRpc(internal.app, {
-        "topic.read": (params): TopicSnapshot => {
-            const { topic } = params as { readonly topic: Topic; };
-            const state = deps.fleet.topics[topic].get();
-            return { revision: state.changedRevision ?? 0, records: [...state.records.values()] };
+        "topic.read": (params): TopicUpdate => {
+            const { topic, since } = params as TopicQuery;
+            return createTopicUpdate(deps.fleet.topics[topic].get(), since);
         },
     });
     const metrics = createHttpServer(listen.metrics);
--- a/packages/gypsumstage-steering/src/traffic/EMPTY_TOPIC.ts
+++ b/packages/gypsumstage-steering/src/traffic/EMPTY_TOPIC.ts
@@ -6,4 +6,6 @@
     changedRevision: undefined,
     records: new Map(),
     expiryByName: new Map(),
+    removals: new Map(),
+    removalsSince: undefined,
 };
--- a/packages/gypsumstage-steering/src/traffic/TopicEvent.ts
+++ b/packages/gypsumstage-steering/src/traffic/TopicEvent.ts
@@ -18,4 +18,14 @@
         readonly revision: number;
         readonly retainUntilMs: number | undefined;
     }
+    /**
+     * The records that changed since the copy's revision, and the names of all records that exist. Unlike the changes, it
+     * does not tell of records that were added and removed in between.
+     */
+    | {
+        readonly kind: "merged";
+        readonly records: readonly TopicRecord[];
+        readonly names: readonly string[];
+        readonly revision: number;
+    }
     | { readonly kind: "time-passed"; readonly nowMs: number; };
--- a/packages/gypsumstage-steering/src/traffic/TopicState.ts
+++ b/packages/gypsumstage-steering/src/traffic/TopicState.ts
@@ -9,4 +9,8 @@
     readonly records: ReadonlyMap<string, TopicRecord>;
     /** Names of records that the store removed but that stay in use, with their expiry (monotonic, milliseconds). */
     readonly expiryByName: ReadonlyMap<string, number>;
+    /** Names of removed records, with the revision at which this instance applied the removal. */
+    readonly removals: ReadonlyMap<string, number>;
+    /** Revision from which on `removals` is complete; undefined before the first listing. */
+    readonly removalsSince: number | undefined;
 }
--- a/packages/gypsumstage-steering/src/traffic/updateTopic.ts
+++ b/packages/gypsumstage-steering/src/traffic/updateTopic.ts
@@ -3,41 +3,85 @@
 import type { TopicEvent } from "./TopicEvent.js";
 import type { TopicState } from "./TopicState.js";
 
+/**
+ * Revision of a removal that is part of every update: a grace period ends at another time on each instance, so the
+ * revision of the other copy does not tell whether it still has the record.
+ */
+const ALWAYS_SENT = Number.POSITIVE_INFINITY;
+/** Removals that a copy remembers; beyond that it sends the names of all records instead. */
+const MAX_REMOVALS = 1_000;
+
 type ListedEvent = Extract<TopicEvent, { readonly kind: "listed"; }>;
+type MergedEvent = Extract<TopicEvent, { readonly kind: "merged"; }>;
 type ChangedEvent = Extract<TopicEvent, { readonly kind: "changed"; }>;
 
 const isOlder = (state: TopicState, revision: number): boolean =>
     state.revision !== undefined && revision < state.revision;
 
-const applyListing = (state: TopicState, event: ListedEvent): TopicState => {
-    const records = new Map<string, TopicRecord>(event.records.map(record => [record.name, record]));
+const copyRetained = (
+    state: TopicState,
+    records: Map<string, TopicRecord>,
+    retainUntilMs: number | undefined,
+): ReadonlyMap<string, number> => {
     const expiryByName = new Map<string, number>();
     for (const [name, record] of state.records) {
-        const untilMs = state.expiryByName.get(name) ?? event.retainUntilMs;
+        const untilMs = state.expiryByName.get(name) ?? retainUntilMs;
         if (!records.has(name) && untilMs !== undefined) {
             records.set(name, record);
             expiryByName.set(name, untilMs);
         }
     }
-    return { revision: event.revision, changedRevision: event.revision, records, expiryByName };
+    return expiryByName;
 };
 
-const applyChange = (
+const replaceRecords = (
+    state: TopicState,
     records: Map<string, TopicRecord>,
-    expiryByName: Map<string, number>,
-    change: TopicChange,
+    revision: number,
     retainUntilMs: number | undefined,
-): void => {
+): TopicState => {
+    const expiryByName = copyRetained(state, records, retainUntilMs);
+    return {
+        revision,
+        changedRevision: revision,
+        records,
+        expiryByName,
+        removals: new Map(),
+        removalsSince: revision,
+    };
+};
+
+const applyListing = (state: TopicState, event: ListedEvent): TopicState => {
+    const records = new Map<string, TopicRecord>(event.records.map(record => [record.name, record]));
+    return replaceRecords(state, records, event.revision, event.retainUntilMs);
+};
+
+const applyMerge = (state: TopicState, event: MergedEvent): TopicState => {
+    const names = new Set(event.names);
+    const unchanged = [...state.records].filter(([name]) => names.has(name));
+    const changed = event.records.map(record => [record.name, record] as const);
+    return replaceRecords(state, new Map([...unchanged, ...changed]), event.revision, undefined);
+};
+
+interface MutableTopic {
+    readonly records: Map<string, TopicRecord>;
+    readonly expiryByName: Map<string, number>;
+    readonly removals: Map<string, number>;
+}
+
+const applyChange = (topic: MutableTopic, change: TopicChange, event: ChangedEvent): void => {
     if (change.kind === "put") {
-        records.set(change.record.name, change.record);
-        expiryByName.delete(change.record.name);
+        topic.records.set(change.record.name, change.record);
+        topic.expiryByName.delete(change.record.name);
+        topic.removals.delete(change.record.name);
     }
-    else if (retainUntilMs === undefined) {
-        records.delete(change.name);
-        expiryByName.delete(change.name);
+    else if (event.retainUntilMs === undefined) {
+        topic.records.delete(change.name);
+        topic.expiryByName.delete(change.name);
+        topic.removals.set(change.name, event.revision);
     }
-    else if (records.has(change.name)) {
-        expiryByName.set(change.name, expiryByName.get(change.name) ?? retainUntilMs);
+    else if (topic.records.has(change.name)) {
+        topic.expiryByName.set(change.name, topic.expiryByName.get(change.name) ?? event.retainUntilMs);
     }
 };
 
@@ -45,12 +89,22 @@
     if (event.changes.length === 0) {
         return event.revision === state.revision ? state : { ...state, revision: event.revision };
     }
-    const records = new Map(state.records);
-    const expiryByName = new Map(state.expiryByName);
+    const topic: MutableTopic = {
+        records: new Map(state.records),
+        expiryByName: new Map(state.expiryByName),
+        removals: new Map(state.removals),
+    };
     for (const change of event.changes) {
-        applyChange(records, expiryByName, change, event.retainUntilMs);
+        applyChange(topic, change, event);
     }
-    return { revision: event.revision, changedRevision: event.revision, records, expiryByName };
+    const isTooLong = topic.removals.size > MAX_REMOVALS;
+    return {
+        ...topic,
+        revision: event.revision,
+        changedRevision: event.revision,
+        removals: isTooLong ? new Map() : topic.removals,
+        removalsSince: isTooLong ? event.revision : state.removalsSince,
+    };
 };
 
 const removeExpired = (state: TopicState, nowMs: number): TopicState => {
@@ -60,11 +114,13 @@
     }
     const records = new Map(state.records);
     const expiryByName = new Map(state.expiryByName);
+    const removals = new Map(state.removals);
     for (const name of expired) {
         records.delete(name);
         expiryByName.delete(name);
+        removals.set(name, ALWAYS_SENT);
     }
-    return { ...state, records, expiryByName };
+    return { ...state, records, expiryByName, removals };
 };
 
 /**
@@ -82,5 +138,12 @@
     if (isOlder(state, event.revision)) {
         return state;
     }
-    return event.kind === "listed" ? applyListing(state, event) : applyChanges(state, event);
+    switch (event.kind) {
+        case "listed":
+            return applyListing(state, event);
+        case "merged":
+            return applyMerge(state, event);
+        case "changed":
+            return applyChanges(state, event);
+    }
 };
