Fetch nothing from an instance that holds the same records

Cause: an instance that starts lists the topics from the store and reports the revision of that listing. It is later than the revision of the last change, which the others have, so all 83 took its copy for a more recent one and fetched it, over its link of 7 Mbit/s, while it started. The same follows each relisting when the store drops its history. Class: a version that says when a copy was read, used as if it said what the copy holds.

Change: a report carries a digest of the names and revisions of the records; an instance whose own digest is the same fetches nothing. Instances of earlier builds send no digest and are compared by revision as before.

Evidence: 150 failed fetches from 8 to 9 s, 116 at the instance that had started at 7.4 s, of endpoints and evacuations that had not changed.

--- a/packages/gypsumstage-steering/src/traffic/EMPTY_TOPIC.ts
+++ b/packages/gypsumstage-steering/src/traffic/EMPTY_TOPIC.ts
@@ -5,6 +5,7 @@
     revision: undefined,
     changedRevision: undefined,
     records: new Map(),
+    digest: 0,
     expiryByName: new Map(),
     removals: new Map(),
     removalsSince: undefined,
--- a/packages/gypsumstage-steering/src/traffic/TopicState.ts
+++ b/packages/gypsumstage-steering/src/traffic/TopicState.ts
@@ -7,6 +7,8 @@
     /** Revision of the last applied listing or change; the records may have last changed at an earlier one. */
     readonly changedRevision: number | undefined;
     readonly records: ReadonlyMap<string, TopicRecord>;
+    /** Digest of the records. */
+    readonly digest: number;
     /** Names of records that the store removed but that stay in use, with their expiry (monotonic, milliseconds). */
     readonly expiryByName: ReadonlyMap<string, number>;
     /** Names of removed records, with the revision at which this instance applied the removal. */
--- a/packages/gypsumstage-steering/src/traffic/TopicVersion.ts
+++ b/packages/gypsumstage-steering/src/traffic/TopicVersion.ts
@@ -4,4 +4,6 @@
     readonly revision: number;
     /** Number of records; of two copies at the same revision the smaller is later: removed records expired there. */
     readonly count: number;
+    /** Digest of the records; undefined in reports of instances that do not know it. */
+    readonly digest?: number;
 }
--- a/packages/gypsumstage-steering/src/traffic/findPeerWithNewerTopic.ts
+++ b/packages/gypsumstage-steering/src/traffic/findPeerWithNewerTopic.ts
@@ -7,7 +7,13 @@
     if (peerVersion === undefined) {
         return false;
     }
-    if (own.revision === undefined || peerVersion.revision > own.revision) {
+    if (own.revision === undefined) {
+        return true;
+    }
+    if (peerVersion.digest === own.digest) {
+        return false;
+    }
+    if (peerVersion.revision > own.revision) {
         return true;
     }
     return peerVersion.revision === own.revision && peerVersion.count < own.records.size;
--- a/packages/gypsumstage-steering/src/traffic/getTopicVersion.ts
+++ b/packages/gypsumstage-steering/src/traffic/getTopicVersion.ts
@@ -10,4 +10,4 @@
 export const getTopicVersion = (state: TopicState): TopicVersion | undefined =>
     state.changedRevision === undefined
         ? undefined
-        : { revision: state.changedRevision, count: state.records.size };
+        : { revision: state.changedRevision, count: state.records.size, digest: state.digest };
--- a/packages/gypsumstage-steering/src/traffic/updateTopic.ts
+++ b/packages/gypsumstage-steering/src/traffic/updateTopic.ts
@@ -1,5 +1,6 @@
 import type { TopicChange } from "@gypsumstage/domain/traffic/TopicChange";
 import type { TopicRecord } from "@gypsumstage/domain/traffic/TopicRecord";
+import { computeTopicDigest } from "./computeTopicDigest.js";
 import type { TopicEvent } from "./TopicEvent.js";
 import type { TopicState } from "./TopicState.js";
 
@@ -42,6 +43,7 @@
 ): TopicState => {
     const expiryByName = copyRetained(state, records, retainUntilMs);
     return {
+        ...state,
         revision,
         changedRevision: revision,
         records,
@@ -99,6 +101,7 @@
     }
     const isTooLong = topic.removals.size > MAX_REMOVALS;
     return {
+        ...state,
         ...topic,
         revision: event.revision,
         changedRevision: event.revision,
@@ -123,15 +126,7 @@
     return { ...state, records, expiryByName, removals };
 };
 
-/**
- * Applies an update to a topic. An update of an older revision is ignored, so a stale read of the store or a peer that
- * lags behind never reverts the records.
- *
- * @param state - the copy of the topic so far
- * @param event - the update
- * @returns the next state; the same object when nothing changed
- */
-export const updateTopic = (state: TopicState, event: TopicEvent): TopicState => {
+const applyUpdate = (state: TopicState, event: TopicEvent): TopicState => {
     if (event.kind === "time-passed") {
         return removeExpired(state, event.nowMs);
     }
@@ -147,3 +142,16 @@
             return applyChanges(state, event);
     }
 };
+
+/**
+ * Applies an update to a topic. An update of an older revision is ignored, so a stale read of the store or a peer that
+ * lags behind never reverts the records.
+ *
+ * @param state - the copy of the topic so far
+ * @param event - the update
+ * @returns the next state; the same object when nothing changed
+ */
+export const updateTopic = (state: TopicState, event: TopicEvent): TopicState => {
+    const next = applyUpdate(state, event);
+    return next.records === state.records ? next : { ...next, digest: computeTopicDigest(next.records) };
+};
