After a failed fetch ask another instance

What callers saw: changes that reach an instance seconds late, although most of the fleet has them.

Cause: an instance fetches from the nearest one with a more recent copy, and after a failure it looked for the nearest again, which is the same one. As long as that one is slow, each attempt costs the time-out of 0.8 s and gains nothing.

Change: an instance that failed is left out for 2 s while another one has a more recent copy.

Ruled out: asking the farthest or a random instance (bytes between regions).

Measured: the unit test asked only the failing instance before, at each check; now the second request goes to the other one.

--- a/packages/gypsumstage-instance/src/peers/registerTopicPull.ts
+++ b/packages/gypsumstage-instance/src/peers/registerTopicPull.ts
@@ -13,6 +13,8 @@
 import type { InstanceMetrics } from "../InstanceMetrics.js";
 import type { TopicQuery } from "./TopicQuery.js";
 
+/** Time after a failed fetch in which the peer is asked only if no other one has a more recent copy. */
+const FAILED_PEER_PAUSE_MS = 2_000;
 /** Pause between two checks for a peer with a more recent copy of the topic. */
 const PULL_CHECK_INTERVAL_MS = 100;
 
@@ -38,8 +40,20 @@
     metrics: Pick<InstanceMetrics, "recordTopicPull">,
     log: Log,
 ): () => void => {
+    const failedUntilMs = new Map<string, number>();
+    const findPeer = (): PeerState | undefined => {
+        const nowMs = monotonicNow();
+        const peers = live();
+        for (const [name] of [...failedUntilMs].filter(([, untilMs]) => untilMs <= nowMs)) {
+            failedUntilMs.delete(name);
+        }
+        const sound = peers.filter(peer => !failedUntilMs.has(peer.report.name));
+        const own = topicStore.get();
+        return findPeerWithNewerTopic(topic, own, sound, location)
+            ?? findPeerWithNewerTopic(topic, own, peers, location);
+    };
     const pull = async (): Promise<void> => {
-        const peer = findPeerWithNewerTopic(topic, topicStore.get(), live(), location);
+        const peer = findPeer();
         if (peer === undefined) {
             return;
         }
@@ -50,6 +64,7 @@
         const res = await rpc.call<TopicUpdate>(internalAddress, "topic.read", query);
         const tookMs = Math.round(monotonicNow() - startedAtMs);
         if (!res.ok) {
+            failedUntilMs.set(name, monotonicNow() + FAILED_PEER_PAUSE_MS);
             metrics.recordTopicPull(topic, res.error.kind, 0, tookMs);
             log("warn", "topic-pull-failed", { topic, peer: name, error: res.error, fromRevision, tookMs });
             return;
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -30,7 +30,8 @@
 import { createUpstreamPool } from "./upstream/createUpstreamPool.js";
 import { registerHealthChecks } from "./upstream/registerHealthChecks.js";
 
-const RPC_TIMEOUT_MS = 800;
+/** Time-out of a fetch from another instance: a few round trips between regions; then another instance is asked. */
+const RPC_TIMEOUT_MS = 500;
 
 /**
  * Starts an instance: it forwards requests, serves lookups, follows the store and exchanges reports with peers.
