Spread the reports over the interval, and list some peers in each

What callers saw: look-ups that leave out instances that run, and instances that hear of a change seconds late.

Cause: once an interval an instance sent its report to all peers in one burst, in the order in which it had met them, and each report listed all of them: at 84 instances 83 datagrams of two packets. What does not fit the queue of a link of 7 Mbit/s is dropped, and that is the end of the same order each time, so the same peers hear nothing. Class: a fixed order under overload starves always the same receivers.

Change: every 100 ms the next part of the peers gets a report, in the order of addresses, so that each gets one an interval as before. A report lists 16 addresses, the next one the next 16. Up to eight peers nothing changes.

Ruled out: fewer reports (instances would hear later).

Why it works: by reckoning nine datagrams of about 1.2 KB a batch take a link of 7 Mbit/s 12 ms of each 100.

--- a/packages/gypsumstage-instance/src/peers/startPeerExchange.ts
+++ b/packages/gypsumstage-instance/src/peers/startPeerExchange.ts
@@ -3,6 +3,7 @@
 import type { Log } from "@gypsumstage/shared/Log";
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import { parseAddress } from "@gypsumstage/shared/parseAddress";
+import { chooseReportTargets } from "@gypsumstage/steering/traffic/chooseReportTargets";
 import { listLivePeers } from "@gypsumstage/steering/traffic/listLivePeers";
 import type { PeerReport } from "@gypsumstage/steering/traffic/PeerReport";
 import type { PeerTable } from "@gypsumstage/steering/traffic/PeerTable";
@@ -16,6 +17,10 @@
 const MIN_REPORT_INTERVAL_MS = 100;
 /** Time between two reports per instance of the fleet, which bounds the load of sending in a large fleet. */
 const REPORT_INTERVAL_PER_PEER_MS = 12;
+/** Time between two batches of reports. Each batch goes to the next part of the peers. */
+const BATCH_INTERVAL_MS = 100;
+/** Peer addresses in a report; the next batch has the next ones. */
+const MAX_ADDRESSES_PER_REPORT = 16;
 /** Shortest time without a report after which a peer no longer counts as live. */
 const MIN_LIVENESS_TIMEOUT_MS = 1_200;
 /** Report intervals without a report after which a peer no longer counts as live. */
@@ -24,12 +29,13 @@
 const MAX_IN_FLIGHT_AGE_INTERVALS = 3;
 
 /**
- * Sends a report on this instance to its peers a few times a second, by datagram, and receives theirs. New
- * instances are discovered through the seeds and through the peer addresses in each report.
+ * Sends reports on this instance to its peers by datagram, and receives theirs. Each peer gets one a report interval; the
+ * reports are spread over that interval. New instances are discovered through the seeds and through the peer addresses in
+ * each report.
  *
  * @param internalAddress - `IP:port` at which this instance receives reports
  * @param seeds - internal addresses that get reports while no report of a peer is recorded
- * @param createReport - creates this instance's report, given the internal addresses of its live peers
+ * @param createReport - creates this instance's report, given internal addresses of live peers
  * @param metrics - receives the bytes of reports and the time between reports of a peer
  * @param log - receives found and lost peers, malformed reports and socket errors
  * @returns the exchange, once the socket is bound
@@ -95,14 +101,30 @@
         peers = recordPeerReport(peers, report.value, nowMs);
     });
     socket.on("error", err => log("warn", "peer-socket-failed", { reason: describeError(err) }));
+    let lastTarget: string | undefined;
+    let lastListedAddress: string | undefined;
+    const listNextAddresses = (): readonly string[] => {
+        const addresses = live().map(peer => peer.report.internalAddress);
+        const next = chooseReportTargets(addresses, lastListedAddress, MAX_ADDRESSES_PER_REPORT);
+        lastListedAddress = next.at(-1);
+        return next;
+    };
+    const chooseBatch = (addresses: ReadonlySet<string>): readonly string[] => {
+        const roundMs = Math.max(MIN_REPORT_INTERVAL_MS, REPORT_INTERVAL_PER_PEER_MS * (addresses.size + 1));
+        const count = Math.ceil(addresses.size * BATCH_INTERVAL_MS / roundMs);
+        const batch = chooseReportTargets([...addresses], lastTarget, count);
+        lastTarget = batch.at(-1);
+        return batch;
+    };
     const sendReports = (): void => {
-        const liveAddresses = live().map(peer => peer.report.internalAddress);
-        const report = createReport(liveAddresses);
+        const report = createReport(listNextAddresses());
         const bytes = Buffer.from(JSON.stringify({ jsonrpc: "2.0", method: "peer.report", params: report }));
         const peerAddresses = new Set([...peers.values()].map(peer => peer.report.internalAddress));
-        for (const address of new Set([...peerAddresses, ...unconfirmedAddresses])) {
+        const addresses = new Set([...peerAddresses, ...unconfirmedAddresses]);
+        addresses.delete(internalAddress);
+        for (const address of chooseBatch(addresses)) {
             const target = parseAddress(address);
-            if (target !== undefined && address !== internalAddress) {
+            if (target !== undefined) {
                 metrics.countReportBytes("sent", bytes.length);
                 socket.send(bytes, target.port, target.host, err => {
                     if (err) {
@@ -118,11 +140,15 @@
     };
     await new Promise<void>(resolve => socket.bind(ownAddress.port, ownAddress.host, resolve));
     let timer: NodeJS.Timeout;
+    let nextSummaryAtMs = 0;
     const tick = (): void => {
         sendReports();
-        sumInFlight();
-        logPeerChanges();
-        timer = setTimeout(tick, reportIntervalMs());
+        if (monotonicNow() >= nextSummaryAtMs) {
+            nextSummaryAtMs = monotonicNow() + reportIntervalMs();
+            sumInFlight();
+            logPeerChanges();
+        }
+        timer = setTimeout(tick, BATCH_INTERVAL_MS);
     };
     timer = setTimeout(tick, 0);
     return {
--- a/packages/gypsumstage-steering/src/traffic/PeerReport.ts
+++ b/packages/gypsumstage-steering/src/traffic/PeerReport.ts
@@ -2,7 +2,7 @@
 import type { PeerView } from "./PeerView.js";
 import type { TopicVersion } from "./TopicVersion.js";
 
-/** Status report that an instance sends to the other instances several times a second. */
+/** Status report that an instance sends to the other instances, up to several times a second. */
 export interface PeerReport extends PeerView {
     /** Random id of this run of the process; it changes with each restart. */
     readonly incarnation: string;
@@ -19,6 +19,6 @@
     readonly demand: Readonly<Record<string, number>>;
     /** Requests that it has placed since its start, by region. */
     readonly placed: Readonly<Record<string, number>>;
-    /** Internal addresses of the instances from which it receives reports. */
+    /** Internal addresses of some of the instances from which it receives reports; other ones in each report. */
     readonly peers: readonly string[];
 }
