Bound the time until the end of a store reader is noticed, at every size of the fleet

What callers would see: after the kill of the instance that reads the store for a region, changes late by up to the time until it no longer counts as live.

Cause: one instance a region reads the store, and the others learned of changes and of its end from its periodic reports. Class: a bound that must be fixed, kept by a message whose interval grows with the fleet.

Change: a reader announces its versions and the age of its last read in a short datagram every 500 ms, and 50 ms after each change. They go to its region and to the readers of the other regions, which pass a change on to theirs, so a change needs one reader anywhere. An instance that hears no reader of its region for 1.5 s reads the store itself; of several readers of a region all but the first by rendezvous stop. A reader that is leaving is replaced at once. An instance that does not read reports no age. Peers are live by their reports or announcements.

Ruled out: two readers a region (both may be killed, and store calls double); shorter report intervals (83 reports a second at 84 instances already take 0.8 of 7 Mbit/s, by reckoning).

--- a/packages/gypsumstage-instance/src/__tests__/unit/registerTopicPull.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/registerTopicPull.test.ts
@@ -14,6 +14,7 @@
 
 const peer = (name: string, region: string): PeerState => ({
     receivedAtMs: 0,
+    heardAtMs: 0,
     report: {
         name,
         dataCentre: `${region}-a`,
--- a/packages/gypsumstage-instance/src/peers/PeerExchange.ts
+++ b/packages/gypsumstage-instance/src/peers/PeerExchange.ts
@@ -1,9 +1,14 @@
 import type { PeerState } from "@gypsumstage/steering/traffic/PeerState";
+import type { TopicAnnouncement } from "@gypsumstage/steering/traffic/TopicAnnouncement";
 
 /** The latest reports of the other instances. */
 export interface PeerExchange {
     /** Returns the instances whose last report is recent enough to count as live. */
     readonly live: () => readonly PeerState[];
+    /** Returns all recorded instances, live or not. */
+    readonly all: () => readonly PeerState[];
+    /** Sends an announcement to the given instances. */
+    readonly announce: (announcement: TopicAnnouncement, targets: readonly PeerState[]) => void;
     /** Instances that share a fleet-wide limit: the live ones, those silent but not yet removed, and this one. */
     readonly fleetSize: () => number;
     /** Requests in flight at an endpoint from the other instances, as last reported. */
--- /dev/null
+++ b/packages/gypsumstage-instance/src/peers/PeerMessage.ts
@@ -0,0 +1,7 @@
+import type { PeerReport } from "@gypsumstage/steering/traffic/PeerReport";
+import type { TopicAnnouncement } from "@gypsumstage/steering/traffic/TopicAnnouncement";
+
+/** A datagram from another instance. */
+export type PeerMessage =
+    | { readonly kind: "report"; readonly report: PeerReport; }
+    | { readonly kind: "announcement"; readonly announcement: TopicAnnouncement; };
--- /dev/null
+++ b/packages/gypsumstage-instance/src/peers/parsePeerMessage.ts
@@ -0,0 +1,54 @@
+import { describeError } from "@gypsumstage/shared/describeError";
+import { failure } from "@gypsumstage/shared/failure";
+import type { Result } from "@gypsumstage/shared/Result";
+import { success } from "@gypsumstage/shared/success";
+import type { PeerReport } from "@gypsumstage/steering/traffic/PeerReport";
+import type { TopicAnnouncement } from "@gypsumstage/steering/traffic/TopicAnnouncement";
+import type { PeerMessage } from "./PeerMessage.js";
+import type { ReportError } from "./ReportError.js";
+import { TOPICS_METHOD } from "./TOPICS_METHOD.js";
+
+const isReport = (params: Partial<PeerReport> | undefined): params is PeerReport =>
+    typeof params?.name === "string"
+    && typeof params.internalAddress === "string"
+    && typeof params.address === "string"
+    && typeof params.topics === "object"
+    && typeof params.inFlight === "object"
+    && Array.isArray(params.peers);
+
+const isAnnouncement = (params: Partial<TopicAnnouncement> | undefined): params is TopicAnnouncement =>
+    typeof params?.name === "string"
+    && typeof params.incarnation === "string"
+    && typeof params.topics === "object";
+
+const parseParams = (
+    method: string | undefined,
+    params: Partial<PeerReport> | undefined,
+): PeerMessage | undefined => {
+    if (method === TOPICS_METHOD) {
+        return isAnnouncement(params) ? { kind: "announcement", announcement: params } : undefined;
+    }
+    return isReport(params) ? { kind: "report", report: params } : undefined;
+};
+
+/**
+ * Parses a message of a peer, a JSON-RPC notification.
+ *
+ * @param bytes - the datagram
+ * @returns the report or announcement, or why the datagram is malformed
+ */
+export const parsePeerMessage = (bytes: Buffer): Result<PeerMessage, ReportError> => {
+    try {
+        const { method, params } = JSON.parse(bytes.toString("utf8")) as {
+            readonly method?: string;
+            readonly params?: Partial<PeerReport>;
+        };
+        const message = parseParams(method, params);
+        return message === undefined
+            ? failure({ kind: "report-malformed", reason: "fields are missing" })
+            : success(message);
+    }
+    catch (err) {
+        return failure({ kind: "report-malformed", reason: describeError(err) });
+    }
+};
--- a/packages/gypsumstage-instance/src/peers/startPeerExchange.ts
+++ b/packages/gypsumstage-instance/src/peers/startPeerExchange.ts
@@ -8,10 +8,13 @@
 import type { PeerReport } from "@gypsumstage/steering/traffic/PeerReport";
 import type { PeerTable } from "@gypsumstage/steering/traffic/PeerTable";
 import { recordPeerReport } from "@gypsumstage/steering/traffic/recordPeerReport";
+import { recordTopicAnnouncement } from "@gypsumstage/steering/traffic/recordTopicAnnouncement";
+import type { TopicAnnouncement } from "@gypsumstage/steering/traffic/TopicAnnouncement";
 import { createSocket, type Socket } from "node:dgram";
 import type { InstanceMetrics } from "../InstanceMetrics.js";
-import { parseReport } from "./parseReport.js";
+import { parsePeerMessage } from "./parsePeerMessage.js";
 import type { PeerExchange } from "./PeerExchange.js";
+import { TOPICS_METHOD } from "./TOPICS_METHOD.js";
 
 /** Shortest time between two reports. */
 const MIN_REPORT_INTERVAL_MS = 100;
@@ -85,20 +88,28 @@
         }
         inFlightTotals = totals;
     };
+    const receiveReport = (report: PeerReport, nowMs: number): void => {
+        const before = peers.get(report.name);
+        if (before !== undefined) {
+            metrics.recordReportGap(nowMs - before.receivedAtMs);
+        }
+        report.peers.forEach(address => unconfirmedAddresses.add(address));
+        peers = recordPeerReport(peers, report, nowMs);
+    };
     socket.on("message", bytes => {
-        const report = parseReport(bytes);
-        if (!report.ok) {
-            log("warn", "peer-report-malformed", { reason: report.error.reason });
+        const message = parsePeerMessage(bytes);
+        if (!message.ok) {
+            log("warn", "peer-report-malformed", { reason: message.error.reason });
             return;
         }
+        metrics.countReportBytes("received", bytes.length);
         const nowMs = monotonicNow();
-        const before = peers.get(report.value.name);
-        if (before !== undefined) {
-            metrics.recordReportGap(nowMs - before.receivedAtMs);
+        if (message.value.kind === "report") {
+            receiveReport(message.value.report, nowMs);
+        }
+        else {
+            peers = recordTopicAnnouncement(peers, message.value.announcement, nowMs);
         }
-        metrics.countReportBytes("received", bytes.length);
-        report.value.peers.forEach(address => unconfirmedAddresses.add(address));
-        peers = recordPeerReport(peers, report.value, nowMs);
     });
     socket.on("error", err => log("warn", "peer-socket-failed", { reason: describeError(err) }));
     let lastTarget: string | undefined;
@@ -116,13 +127,13 @@
         lastTarget = batch.at(-1);
         return batch;
     };
-    const sendReports = (): void => {
-        const report = createReport(listNextAddresses());
-        const bytes = Buffer.from(JSON.stringify({ jsonrpc: "2.0", method: "peer.report", params: report }));
-        const peerAddresses = new Set([...peers.values()].map(peer => peer.report.internalAddress));
-        const addresses = new Set([...peerAddresses, ...unconfirmedAddresses]);
-        addresses.delete(internalAddress);
-        for (const address of chooseBatch(addresses)) {
+    const send = (
+        method: string,
+        params: PeerReport | TopicAnnouncement,
+        addresses: readonly string[],
+    ): void => {
+        const bytes = Buffer.from(JSON.stringify({ jsonrpc: "2.0", method, params }));
+        for (const address of addresses) {
             const target = parseAddress(address);
             if (target !== undefined) {
                 metrics.countReportBytes("sent", bytes.length);
@@ -133,6 +144,13 @@
                 });
             }
         }
+    };
+    const sendReports = (): void => {
+        const report = createReport(listNextAddresses());
+        const peerAddresses = new Set([...peers.values()].map(peer => peer.report.internalAddress));
+        const addresses = new Set([...peerAddresses, ...unconfirmedAddresses]);
+        addresses.delete(internalAddress);
+        send("peer.report", report, chooseBatch(addresses));
         peerAddresses.forEach(address => unconfirmedAddresses.delete(address));
         if (peerAddresses.size === 0) {
             seeds.forEach(address => unconfirmedAddresses.add(address));
@@ -153,6 +171,9 @@
     timer = setTimeout(tick, 0);
     return {
         live,
+        all: () => [...peers.values()],
+        announce: (announcement, targets) =>
+            send(TOPICS_METHOD, announcement, targets.map(peer => peer.report.internalAddress)),
         fleetSize: () => peers.size + 1,
         inFlight: endpointId => inFlightTotals.get(endpointId) ?? 0,
         stop: () => {
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -147,6 +147,7 @@
     const stopHealthChecks = registerHealthChecks(fleet.view, tracker, pool, platform.headerCodec, log);
     const followedTopics = followTopics(
         cfg,
+        { incarnation, isReady },
         fleet,
         countStoreCalls(platform.store, metrics.countStoreCall),
         peers,
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/findStoreAge.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/findStoreAge.test.ts
@@ -3,8 +3,8 @@
 import { findStoreAge } from "../../../traffic/findStoreAge.js";
 import type { PeerState } from "../../../traffic/PeerState.js";
 
-const peer = (storeAgeMs: number | undefined, receivedAtMs: number): PeerState =>
-    ({ report: { storeAgeMs }, receivedAtMs }) as PeerState;
+const peer = (storeAgeMs: number | undefined, heardAtMs: number): PeerState =>
+    ({ report: { storeAgeMs }, receivedAtMs: heardAtMs, heardAtMs }) as PeerState;
 
 test("the most recent read counts, and the time since a peer's report is added to its age", () => {
     assert.equal(findStoreAge(undefined, [], 1_000), undefined);
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/peers.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/peers.test.ts
@@ -12,6 +12,8 @@
 import { shouldFollowStore } from "../../../traffic/shouldFollowStore.js";
 import { createRoute } from "./createRoute.js";
 
+const LIMITS = { maxSilenceMs: 1_500, maxStoreAgeMs: 2_800 };
+
 const report = (name: string, fields: Partial<PeerReport> = {}): PeerReport => ({
     name,
     dataCentre: "kutch-a",
@@ -43,7 +45,7 @@
     const all = ["a", "b", "c"];
     const followers = all.filter(own => {
         const others = receiveReports(0, ...all.filter(name => name !== own).map(name => report(name)));
-        return shouldFollowStore({ name: own, region: "kutch" }, [...others.values()], 100, 2_800);
+        return shouldFollowStore({ name: own, region: "kutch" }, [...others.values()], 100, LIMITS);
     });
     assert.equal(followers.length, 1);
 });
@@ -53,7 +55,7 @@
         ...receiveReports(0, report("a", { storeAgeMs: undefined }), report("b", { storeAgeMs: 2_700 }))
             .values(),
     ];
-    assert.equal(shouldFollowStore({ name: "c", region: "kutch" }, peers, 200, 2_800), true);
+    assert.equal(shouldFollowStore({ name: "c", region: "kutch" }, peers, 200, LIMITS), true);
 });
 
 test("a topic is fetched from the nearest peer with a more recent copy", () => {
--- a/packages/gypsumstage-steering/src/traffic/PeerState.ts
+++ b/packages/gypsumstage-steering/src/traffic/PeerState.ts
@@ -1,7 +1,11 @@
 import type { PeerReport } from "./PeerReport.js";
 
-/** The latest report of another instance, with the monotonic time of its receipt in milliseconds. */
+/** What another instance told last. Times are monotonic, in milliseconds. */
 export interface PeerState {
+    /** Its latest report, with what later announcements changed. */
     readonly report: PeerReport;
+    /** When the report was received. */
     readonly receivedAtMs: number;
+    /** When the report or the latest announcement was received. */
+    readonly heardAtMs: number;
 }
--- a/packages/gypsumstage-steering/src/traffic/findStoreAge.ts
+++ b/packages/gypsumstage-steering/src/traffic/findStoreAge.ts
@@ -1,10 +1,11 @@
+import { getStoreAge } from "./getStoreAge.js";
 import type { PeerState } from "./PeerState.js";
 
 /**
- * Returns the time since any instance last read the store, from this instance's own read and the peers' reports.
+ * Returns the time since any instance last read the store, from this instance's own read and what the peers told.
  *
  * @param ownAgeMs - time since this instance last read the store; undefined when it does not follow the store
- * @param livePeers - the peers with a recent report
+ * @param livePeers - the live peers
  * @param nowMs - current monotonic time
  * @returns the age, in milliseconds; undefined when neither this instance nor a live peer has read the store
  */
@@ -13,9 +14,7 @@
     livePeers: readonly PeerState[],
     nowMs: number,
 ): number | undefined => {
-    const peerAges = livePeers.map(({ report, receivedAtMs }) =>
-        report.storeAgeMs === undefined ? undefined : report.storeAgeMs + nowMs - receivedAtMs
-    );
+    const peerAges = livePeers.map(peer => getStoreAge(peer, nowMs));
     const ages = [ownAgeMs, ...peerAges].filter(age => age !== undefined);
     return ages.length === 0 ? undefined : Math.min(...ages);
 };
--- a/packages/gypsumstage-steering/src/traffic/recordPeerReport.ts
+++ b/packages/gypsumstage-steering/src/traffic/recordPeerReport.ts
@@ -14,5 +14,5 @@
  */
 export const recordPeerReport = (peers: PeerTable, report: PeerReport, nowMs: number): PeerTable => {
     const unexpired = [...peers].filter(([, peer]) => nowMs - peer.receivedAtMs < PEER_EXPIRY_MS);
-    return new Map([...unexpired, [report.name, { report, receivedAtMs: nowMs }]]);
+    return new Map([...unexpired, [report.name, { report, receivedAtMs: nowMs, heardAtMs: nowMs }]]);
 };
--- a/packages/gypsumstage-steering/src/traffic/shouldFollowStore.ts
+++ b/packages/gypsumstage-steering/src/traffic/shouldFollowStore.ts
@@ -1,32 +1,31 @@
 import { rankByRendezvousHash } from "../rankByRendezvousHash.js";
-import { findStoreAge } from "./findStoreAge.js";
+import { isStoreReader } from "./isStoreReader.js";
 import type { PeerState } from "./PeerState.js";
+import type { StoreReaderLimits } from "./StoreReaderLimits.js";
 
 /**
- * Returns whether this instance should follow the store itself. One instance of each region does, and the
- * others fetch changes from any instance with a more recent copy. While no peer has read the store recently,
- * every instance follows it.
+ * Returns whether this instance should follow the store itself. Of the instances of a region that do, all but the first by
+ * rendezvous hashing stop; the others fetch changes from any instance with a more recent copy. An instance steps in when it
+ * hears no reader in its region, whoever may seem to be live there.
  *
  * @param own - name and region of this instance
- * @param livePeers - the peers with a recent report
+ * @param peers - the other instances, live or not
  * @param nowMs - current monotonic time
- * @param maxAgeMs - age up to which a peer's last read of the store counts as recent
+ * @param limits - up to when a peer counts as reading the store
  * @returns true when this instance should follow the store
  */
 export const shouldFollowStore = (
     own: { readonly name: string; readonly region: string; },
-    livePeers: readonly PeerState[],
+    peers: readonly PeerState[],
     nowMs: number,
-    maxAgeMs: number,
+    limits: StoreReaderLimits,
 ): boolean => {
-    const ageMs = findStoreAge(undefined, livePeers, nowMs);
-    if (ageMs === undefined || ageMs > maxAgeMs) {
-        return true;
-    }
-    const readyInRegion = livePeers.filter(peer => peer.report.region === own.region && peer.report.isReady);
-    const [follower] = rankByRendezvousHash("store-follower", [
+    const readers = peers.filter(peer =>
+        peer.report.region === own.region && isStoreReader(peer, nowMs, limits)
+    );
+    const [first] = rankByRendezvousHash("store-follower", [
         own.name,
-        ...readyInRegion.map(peer => peer.report.name),
+        ...readers.map(peer => peer.report.name),
     ]);
-    return follower === own.name;
+    return first === own.name;
 };
