Split the peer exchange into socket, rotation and state

The file had grown to 190 lines with the announcements. openPeerSocket parses and sends datagrams, createReportRotation keeps whose turn it is; startPeerExchange keeps the table of peers. No behaviour changes.

--- a/packages/gypsumstage-instance/src/peers/startPeerExchange.ts
+++ b/packages/gypsumstage-instance/src/peers/startPeerExchange.ts
@@ -1,19 +1,15 @@
-import { describeError } from "@gypsumstage/shared/describeError";
-import { invariant } from "@gypsumstage/shared/invariant";
 import type { Log } from "@gypsumstage/shared/Log";
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
-import { parseAddress } from "@gypsumstage/shared/parseAddress";
-import { chooseReportTargets } from "@gypsumstage/steering/traffic/chooseReportTargets";
 import { listLivePeers } from "@gypsumstage/steering/traffic/listLivePeers";
 import type { PeerReport } from "@gypsumstage/steering/traffic/PeerReport";
 import type { PeerTable } from "@gypsumstage/steering/traffic/PeerTable";
 import { recordPeerReport } from "@gypsumstage/steering/traffic/recordPeerReport";
 import { recordTopicAnnouncement } from "@gypsumstage/steering/traffic/recordTopicAnnouncement";
-import type { TopicAnnouncement } from "@gypsumstage/steering/traffic/TopicAnnouncement";
-import { createSocket, type Socket } from "node:dgram";
 import type { InstanceMetrics } from "../InstanceMetrics.js";
-import { parsePeerMessage } from "./parsePeerMessage.js";
+import { createReportRotation } from "./createReportRotation.js";
+import { openPeerSocket } from "./openPeerSocket.js";
 import type { PeerExchange } from "./PeerExchange.js";
+import type { PeerMessage } from "./PeerMessage.js";
 import { TOPICS_METHOD } from "./TOPICS_METHOD.js";
 
 /** Shortest time between two reports. */
@@ -22,8 +18,6 @@
 const REPORT_INTERVAL_PER_PEER_MS = 12;
 /** Time between two batches of reports. Each batch goes to the next part of the peers. */
 const BATCH_INTERVAL_MS = 100;
-/** Peer addresses in a report; the next batch has the next ones. */
-const MAX_ADDRESSES_PER_REPORT = 16;
 /** Shortest time without a report after which a peer no longer counts as live. */
 const MIN_LIVENESS_TIMEOUT_MS = 1_200;
 /** Report intervals without a report after which a peer no longer counts as live. */
@@ -31,6 +25,9 @@
 /** Report intervals after which a peer's reported requests in flight are no longer counted. */
 const MAX_IN_FLIGHT_AGE_INTERVALS = 3;
 
+const getRoundMs = (peers: number): number =>
+    Math.max(MIN_REPORT_INTERVAL_MS, REPORT_INTERVAL_PER_PEER_MS * (peers + 1));
+
 /**
  * Sends reports on this instance to its peers by datagram, and receives theirs. Each peer gets one a report interval; the
  * reports are spread over that interval. New instances are discovered through the seeds and through the peer addresses in
@@ -50,15 +47,11 @@
     metrics: Pick<InstanceMetrics, "countReportBytes" | "recordReportGap">,
     log: Log,
 ): Promise<PeerExchange> => {
-    const ownAddress = parseAddress(internalAddress);
-    invariant(ownAddress, "address-malformed");
-    const socket: Socket = createSocket("udp4");
     let peers: PeerTable = new Map();
     let inFlightTotals: ReadonlyMap<string, number> = new Map();
     const unconfirmedAddresses = new Set<string>(seeds);
     const loggedNames = new Set<string>();
-    const reportIntervalMs = (): number =>
-        Math.max(MIN_REPORT_INTERVAL_MS, REPORT_INTERVAL_PER_PEER_MS * (peers.size + 1));
+    const reportIntervalMs = (): number => getRoundMs(peers.size);
     const live = (): ReturnType<PeerExchange["live"]> =>
         listLivePeers(
             peers,
@@ -96,67 +89,29 @@
         report.peers.forEach(address => unconfirmedAddresses.add(address));
         peers = recordPeerReport(peers, report, nowMs);
     };
-    socket.on("message", bytes => {
-        const message = parsePeerMessage(bytes);
-        if (!message.ok) {
-            log("warn", "peer-report-malformed", { reason: message.error.reason });
-            return;
-        }
-        metrics.countReportBytes("received", bytes.length);
+    const receive = (message: PeerMessage): void => {
         const nowMs = monotonicNow();
-        if (message.value.kind === "report") {
-            receiveReport(message.value.report, nowMs);
+        if (message.kind === "report") {
+            receiveReport(message.report, nowMs);
         }
         else {
-            peers = recordTopicAnnouncement(peers, message.value.announcement, nowMs);
-        }
-    });
-    socket.on("error", err => log("warn", "peer-socket-failed", { reason: describeError(err) }));
-    let lastTarget: string | undefined;
-    let lastListedAddress: string | undefined;
-    const listNextAddresses = (): readonly string[] => {
-        const addresses = live().map(peer => peer.report.internalAddress);
-        const next = chooseReportTargets(addresses, lastListedAddress, MAX_ADDRESSES_PER_REPORT);
-        lastListedAddress = next.at(-1);
-        return next;
-    };
-    const chooseBatch = (addresses: ReadonlySet<string>): readonly string[] => {
-        const roundMs = Math.max(MIN_REPORT_INTERVAL_MS, REPORT_INTERVAL_PER_PEER_MS * (addresses.size + 1));
-        const count = Math.ceil(addresses.size * BATCH_INTERVAL_MS / roundMs);
-        const batch = chooseReportTargets([...addresses], lastTarget, count);
-        lastTarget = batch.at(-1);
-        return batch;
-    };
-    const send = (
-        method: string,
-        params: PeerReport | TopicAnnouncement,
-        addresses: readonly string[],
-    ): void => {
-        const bytes = Buffer.from(JSON.stringify({ jsonrpc: "2.0", method, params }));
-        for (const address of addresses) {
-            const target = parseAddress(address);
-            if (target !== undefined) {
-                metrics.countReportBytes("sent", bytes.length);
-                socket.send(bytes, target.port, target.host, err => {
-                    if (err) {
-                        log("debug", "peer-report-not-sent", { to: address, reason: describeError(err) });
-                    }
-                });
-            }
+            peers = recordTopicAnnouncement(peers, message.announcement, nowMs);
         }
     };
+    const socket = await openPeerSocket(internalAddress, receive, metrics, log);
+    const rotation = createReportRotation(BATCH_INTERVAL_MS, getRoundMs);
     const sendReports = (): void => {
-        const report = createReport(listNextAddresses());
+        const liveAddresses = live().map(peer => peer.report.internalAddress);
+        const report = createReport(rotation.nextListed(liveAddresses));
         const peerAddresses = new Set([...peers.values()].map(peer => peer.report.internalAddress));
         const addresses = new Set([...peerAddresses, ...unconfirmedAddresses]);
         addresses.delete(internalAddress);
-        send("peer.report", report, chooseBatch(addresses));
+        socket.send("peer.report", report, rotation.nextTargets([...addresses]));
         peerAddresses.forEach(address => unconfirmedAddresses.delete(address));
         if (peerAddresses.size === 0) {
             seeds.forEach(address => unconfirmedAddresses.add(address));
         }
     };
-    await new Promise<void>(resolve => socket.bind(ownAddress.port, ownAddress.host, resolve));
     let timer: NodeJS.Timeout;
     let nextSummaryAtMs = 0;
     const tick = (): void => {
@@ -173,7 +128,7 @@
         live,
         all: () => [...peers.values()],
         announce: (announcement, targets) =>
-            send(TOPICS_METHOD, announcement, targets.map(peer => peer.report.internalAddress)),
+            socket.send(TOPICS_METHOD, announcement, targets.map(peer => peer.report.internalAddress)),
         fleetSize: () => peers.size + 1,
         inFlight: endpointId => inFlightTotals.get(endpointId) ?? 0,
         stop: () => {
