Report a refused RPC call as refused

Cause: createRpcClient looked for an error named JSONRPCErrorException, but the library's class keeps the name Error, so a refusal was reported as rpc-unreachable.

Change: the class is compared. Logs only; no decision depends on the kind.

Measured: the test of an unknown method failed before and passes now; the test of a time-out passed before and passes now.

--- a/packages/gypsumstage-shared/src/createRpcClient.ts
+++ b/packages/gypsumstage-shared/src/createRpcClient.ts
@@ -1,6 +1,7 @@
 import {
     createJSONRPCErrorResponse,
     JSONRPCClient,
+    JSONRPCErrorException,
     type JSONRPCErrorResponse,
     type JSONRPCID,
     type JSONRPCRequest,
@@ -63,10 +64,12 @@
             );
         }
         catch (err) {
-            const kind = err instanceof Error && err.name === "JSONRPCErrorException"
-                ? "rpc-refused"
-                : "rpc-unreachable";
-            return failure({ kind, address, reason: describeError(err) });
+            const isRefused = err instanceof JSONRPCErrorException && err.code !== TIMEOUT_ERROR_CODE;
+            return failure({
+                kind: isRefused ? "rpc-refused" : "rpc-unreachable",
+                address,
+                reason: describeError(err),
+            });
         }
     };
     return { call, close: () => agent.destroy() };
