Report a damaged configuration as such, not as an unreachable platform

Change: PlatformError has platform-object-invalid with the key. Decisions stay: every consumer compares with platform-conflict only.

--- a/packages/gypsumstage-steer/src/readStoredConfiguration.ts
+++ b/packages/gypsumstage-steer/src/readStoredConfiguration.ts
@@ -18,13 +18,14 @@
     platform: Platform,
     digest: string,
 ): Promise<Result<Configuration, PlatformError>> => {
-    const stored = await platform.read(getConfigurationKey(digest));
+    const key = getConfigurationKey(digest);
+    const stored = await platform.read(key);
     if (!stored.ok) {
         return stored;
     }
     const configuration = stored.value?.value as Configuration | undefined;
     if (configuration === undefined || computeConfigurationDigest(configuration) !== digest) {
-        return failure({ kind: "platform-unreachable", reason: `part ${digest} is missing or damaged` });
+        return failure({ kind: "platform-object-invalid", key });
     }
     return success(configuration);
 };
