--- a/packages/gypsumstage-instance/src/createInstanceMetrics.ts
+++ b/packages/gypsumstage-instance/src/createInstanceMetrics.ts
@@ -111,7 +111,7 @@
     );
     const reportBytes = new Counter({
         name: "gypsumstage_report_bytes_total",
-        help: "Bytes of reports exchanged with other instances",
+        help: "Bytes of reports and announcements exchanged with other instances",
         labelNames: ["direction"],
         registers: [registry],
     });
