Apply no grace to removals after an outage that others have already read past

Cause: a reader of the store that regains it keeps removed endpoints in use for 2 s, as entries that expired in an outage come back. The failures that start this grace were remembered while other instances read the store. An instance that had been turned away at 10 s and steps in as reader at 15 s, three seconds after the outage, applied the grace to an endpoint that left at 16.0 s, and told the whole fleet that it was there. Class: a time bound counted from when this instance notices, not from the event.

Change: failures and grace end when the instance stops reading the store, because then another one reads it.

Why it works: the grace is left for its purpose: during an outage of all, nobody stops reading.

--- a/packages/gypsumstage-instance/src/store/registerTopicFollower.ts
+++ b/packages/gypsumstage-instance/src/store/registerTopicFollower.ts
@@ -88,6 +88,9 @@
     const step = async (): Promise<void> => {
         const { revision } = topicStore.get();
         if (!shouldFollow()) {
+            // Another instance reads the store, so failures from before say nothing about when the store came back.
+            failures = 0;
+            recoveredAtMs = undefined;
             pauseMs = FOLLOW_CHECK_INTERVAL_MS;
             return;
         }
