Let an instance find out that its copy kept a removed record

A copy in its grace period reports the later revision; who fetches from it is at that revision, and the removal, which is older, is in no update that it gets afterwards. It fetched nothing at each check (0 records, four times a second).

Ruled out: asking for everything again (an instance in its grace period would give the record back).

Measured: the unit test shows the record left by an update and removed by one with names; the test of the query fails when the names are not asked for.

--- a/packages/gypsumstage-instance/src/__tests__/unit/registerTopicPull.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/registerTopicPull.test.ts
@@ -90,3 +90,33 @@
     stop();
     assert.ok(fetches > 0 && fetches <= 4, `${fetches} fetches`);
 });
+
+test(
+    "the names of all records are asked for when a peer has fewer at the same revision",
+    { timeout: 10_000 },
+    async () => {
+        const queries: unknown[] = [];
+        const rpc: RpcClient = {
+            call: <Value>(...[, , query]: readonly [string, string, unknown]) => {
+                queries.push(query);
+                return Promise.resolve(success({ revision: 9, records: [], names: [] } as Value));
+            },
+            close: () => Promise.resolve(),
+        };
+        const { topic, stop } = start(rpc, () => [peer("near", "kutch")]);
+        while (topic.get().revision === undefined) {
+            await sleep(10);
+        }
+        topic.dispatch({
+            kind: "listed",
+            records: [{ name: "a", revision: 3, value: { kind: "evacuation", dataCentre: "a" } }],
+            revision: 9,
+            retainUntilMs: undefined,
+        });
+        while (topic.get().records.size > 0) {
+            await sleep(50);
+        }
+        stop();
+        assert.deepEqual(queries.at(-1), { topic: "policy", since: 9, areNamesNeeded: true });
+    },
+);
--- a/packages/gypsumstage-instance/src/peers/TopicQuery.ts
+++ b/packages/gypsumstage-instance/src/peers/TopicQuery.ts
@@ -5,4 +5,6 @@
     readonly topic: Topic;
     /** Revision up to which the requesting instance's copy is complete; absent when it has none. */
     readonly since?: number | undefined;
+    /** True when the removals since then are not enough, because the copies differ at the same revision. */
+    readonly areNamesNeeded?: boolean;
 }
--- a/packages/gypsumstage-instance/src/peers/registerTopicPull.ts
+++ b/packages/gypsumstage-instance/src/peers/registerTopicPull.ts
@@ -64,7 +64,9 @@
         const { name, internalAddress } = peer.report;
         const startedAtMs = monotonicNow();
         const fromRevision = topicStore.get().revision;
-        const query: TopicQuery = { topic, since: fromRevision };
+        // At the same revision the peer has fewer records: a copy that kept a removed record for a grace period told of it.
+        const areNamesNeeded = peer.report.topics[topic]?.revision === fromRevision;
+        const query: TopicQuery = { topic, since: fromRevision, areNamesNeeded };
         const res = await rpc.call<TopicUpdate>(internalAddress, "topic.read", query);
         const tookMs = Math.round(monotonicNow() - startedAtMs);
         if (!res.ok) {
--- a/packages/gypsumstage-instance/src/startListeners.ts
+++ b/packages/gypsumstage-instance/src/startListeners.ts
@@ -42,8 +42,8 @@
     const internal = createHttpServer(listen.internal);
     registerRpc(internal.app, {
         "topic.read": (params): TopicUpdate => {
-            const { topic, since } = params as TopicQuery;
-            return createTopicUpdate(deps.fleet.topics[topic].get(), since);
+            const { topic, since, areNamesNeeded = false } = params as TopicQuery;
+            return createTopicUpdate(deps.fleet.topics[topic].get(), since, areNamesNeeded);
         },
     });
     const metrics = createHttpServer(listen.metrics);
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/createTopicUpdate.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/createTopicUpdate.test.ts
@@ -61,8 +61,8 @@
     });
 };
 
-const fetchFrom = (own: TopicState, peer: TopicState): TopicState =>
-    updateTopic(own, toTopicEvent(createTopicUpdate(peer, own.revision)));
+const fetchFrom = (own: TopicState, peer: TopicState, areNamesNeeded = false): TopicState =>
+    updateTopic(own, toTopicEvent(createTopicUpdate(peer, own.revision, areNamesNeeded)));
 
 const step = fc.oneof(
     fc.record({ kind: fc.constant("write" as const), name: fc.constantFrom(...NAMES) }),
@@ -128,10 +128,31 @@
     assert.deepEqual([...fetchFrom(fetched, expired).records.keys()], ["b", "c"]);
 });
 
+test("a removed record that an instance in its grace period passed on is gone after the next fetch of names", () => {
+    const store = write(write({ records: new Map(), changes: [], revision: 1 }, "a"), "b");
+    const removed = (retainUntilMs: number | undefined): TopicEvent => ({
+        kind: "changed",
+        changes: [{ kind: "removed", name: "a" }],
+        revision: 4,
+        retainUntilMs,
+    });
+    const later: TopicEvent = {
+        kind: "changed",
+        changes: [{ kind: "put", record: record("c", 5) }],
+        revision: 5,
+        retainUntilMs: undefined,
+    };
+    const inGrace = updateTopic(updateTopic(list(EMPTY_TOPIC, store), removed(9_000)), later);
+    const correct = updateTopic(updateTopic(list(EMPTY_TOPIC, store), removed(undefined)), later);
+    const misled = fetchFrom(list(EMPTY_TOPIC, store), inGrace);
+    assert.ok(fetchFrom(misled, correct).records.has("a"), "the removal is older than the copy's revision");
+    assert.deepEqual([...fetchFrom(misled, correct, true).records.keys()], ["b", "c"]);
+});
+
 test("an update without known removals carries names, not unchanged records", () => {
     const store = write(write(write({ records: new Map(), changes: [], revision: 1 }, "a"), "b"), "c");
     const listed = list(EMPTY_TOPIC, store);
-    assert.deepEqual(createTopicUpdate(listed, store.revision - 1), {
+    assert.deepEqual(createTopicUpdate(listed, store.revision - 1, false), {
         revision: store.revision,
         records: [record("c", store.revision)],
         names: ["a", "b", "c"],
--- a/packages/gypsumstage-steering/src/traffic/createTopicUpdate.ts
+++ b/packages/gypsumstage-steering/src/traffic/createTopicUpdate.ts
@@ -7,16 +7,21 @@
  *
  * @param state - this instance's copy of the topic
  * @param sinceRevision - revision up to which the other copy is complete; undefined when there is none
+ * @param areNamesNeeded - true to send the names of all records in place of the removals
  * @returns the update
  */
-export const createTopicUpdate = (state: TopicState, sinceRevision: number | undefined): TopicUpdate => {
+export const createTopicUpdate = (
+    state: TopicState,
+    sinceRevision: number | undefined,
+    areNamesNeeded: boolean,
+): TopicUpdate => {
     const revision = state.changedRevision ?? 0;
     const records = [...state.records.values()];
     if (sinceRevision === undefined) {
         return { revision, records };
     }
     const changed = records.filter(record => record.revision > sinceRevision);
-    if (state.removalsSince === undefined || sinceRevision < state.removalsSince) {
+    if (areNamesNeeded || state.removalsSince === undefined || sinceRevision < state.removalsSince) {
         return { revision, records: changed, names: [...state.records.keys()] };
     }
     const removed = [...state.removals].filter(([, removedAt]) => removedAt > sinceRevision);
