Do not pass on a request whose caller has already left

What the users saw: work went on for callers that had left (GONE).

Cause: the handler passed a request on in the same turn of the event loop in which its bytes were read. When the loop is late, on an instance with little processor time, the caller's close waits behind the request in the socket, and is read one turn later. The attempt was then aborted, but it had been sent. Class: acting on input before looking at what has already arrived after it.

Change: a request waits until the sockets have been polled once more, which delivers a close that is there; a caller that left gets no attempt.

Ruled out: a limit on the age of a request (the instance does not know when the bytes arrived).

--- a/packages/gypsumstage-instance/src/request/createRequestHandler.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestHandler.ts
@@ -1,5 +1,6 @@
 import { dropHopByHopHeaders } from "@gypsumstage/shared/dropHopByHopHeaders";
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import { waitForNextPoll } from "@gypsumstage/shared/waitForNextPoll";
 import { matchRoute } from "@gypsumstage/steering/traffic/matchRoute";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { InstancePhase } from "../InstancePhase.js";
@@ -121,7 +122,11 @@
                 resolve();
             });
         });
-        const { reply, labels } = await validateAndServe(req, callerDisconnect, arrivedAtMs);
+        // After a delay of the event loop, the caller's close may already be there behind its request.
+        await waitForNextPoll();
+        const { reply, labels } = isDisconnected
+            ? withUnknownLabels({ kind: "abandoned" })
+            : await validateAndServe(req, callerDisconnect, arrivedAtMs);
         const tookMs = monotonicNow() - arrivedAtMs;
         ctx.metrics.recordReply(reply, labels, tookMs);
         if (reply.kind !== "relayed") {
