--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/peers.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/peers.test.ts
@@ -10,26 +10,13 @@
 import type { PeerTable } from "../../../traffic/PeerTable.js";
 import { recordPeerReport } from "../../../traffic/recordPeerReport.js";
 import { shouldFollowStore } from "../../../traffic/shouldFollowStore.js";
+import { createReport } from "./createReport.js";
 import { createRoute } from "./createRoute.js";
 
 const LIMITS = { maxSilenceMs: 1_500, maxStoreAgeMs: 2_800 };
 
-const report = (name: string, fields: Partial<PeerReport> = {}): PeerReport => ({
-    name,
-    dataCentre: "kutch-a",
-    region: "kutch",
-    address: `${name}:1`,
-    incarnation: "i",
-    internalAddress: `${name}:2`,
-    isReady: true,
-    topics: {},
-    storeAgeMs: 100,
-    inFlight: {},
-    demand: {},
-    placed: {},
-    peers: [],
-    ...fields,
-});
+const report = (name: string, fields: Partial<PeerReport> = {}): PeerReport =>
+    createReport(name, { storeAgeMs: 100, ...fields });
 
 const receiveReports = (nowMs: number, ...reports: readonly PeerReport[]): PeerTable =>
     reports.reduce((peers: PeerTable, each) => recordPeerReport(peers, each, nowMs), new Map());
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/storeReaders.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/storeReaders.test.ts
@@ -8,6 +8,7 @@
 import { recordPeerReport } from "../../../traffic/recordPeerReport.js";
 import { recordTopicAnnouncement } from "../../../traffic/recordTopicAnnouncement.js";
 import { shouldFollowStore } from "../../../traffic/shouldFollowStore.js";
+import { createReport } from "./createReport.js";
 
 const REGIONS = ["kutch", "bharuch", "bhavnagar"];
 const LIMITS = { maxSilenceMs: 1_500, maxStoreAgeMs: 3_300 };
@@ -17,23 +18,6 @@
 const REPORT_INTERVAL_PER_PEER_MS = 12;
 const STEP_MS = 50;
 
-const report = (name: string, fields: Partial<PeerReport> = {}): PeerReport => ({
-    name,
-    dataCentre: "kutch-a",
-    region: "kutch",
-    address: `${name}:1`,
-    incarnation: "i",
-    internalAddress: `${name}:2`,
-    isReady: true,
-    topics: {},
-    storeAgeMs: undefined,
-    inFlight: {},
-    demand: {},
-    placed: {},
-    peers: [],
-    ...fields,
-});
-
 const state = (fields: PeerReport, heardAtMs: number): PeerState => ({
     report: fields,
     receivedAtMs: heardAtMs,
@@ -67,7 +51,7 @@
                 const isDead = region === "kutch" && readers.has(name);
                 const lastReportAtMs = isDead ? 0 : nowMs - nowMs % reportIntervalMs;
                 return state(
-                    report(name, { region, storeAgeMs: readers.has(name) ? 0 : undefined }),
+                    createReport(name, { region, storeAgeMs: readers.has(name) ? 0 : undefined }),
                     lastReportAtMs,
                 );
             });
@@ -82,7 +66,7 @@
 }
 
 test("a reader that is stopping is replaced at once", () => {
-    const reader = report("r", { storeAgeMs: 10 });
+    const reader = createReport("r", { storeAgeMs: 10 });
     const [better] = rankByRendezvousHash("store-follower", ["r", "own"]);
     const own = { name: better === "r" ? "own" : "other", region: "kutch" };
     assert.equal(shouldFollowStore(own, [state(reader, 0)], 100, LIMITS), false);
@@ -90,11 +74,11 @@
 });
 
 test("an announcement updates what a peer told, and proves that the peer lives", () => {
-    const peers = recordPeerReport(new Map(), report("r"), 0);
+    const peers = recordPeerReport(new Map(), createReport("r"), 0);
     const topics = { policy: { revision: 7, count: 1, digest: 5 } };
     const announcement = { name: "r", incarnation: "i", isReady: true, topics, storeAgeMs: 20 };
     const next = recordTopicAnnouncement(peers, announcement, 5_000);
-    assert.deepEqual(next.get("r")?.report, report("r", { topics, storeAgeMs: 20 }));
+    assert.deepEqual(next.get("r")?.report, createReport("r", { topics, storeAgeMs: 20 }));
     assert.equal(listLivePeers(next, 5_100, 1_200).length, 1);
     assert.equal(next.get("r")?.receivedAtMs, 0);
     assert.equal(recordTopicAnnouncement(peers, { ...announcement, incarnation: "j" }, 5_000), peers);
@@ -103,9 +87,9 @@
 
 test("announcements go to the reader's region and to the readers of the others, not to the whole fleet", () => {
     const peers = [
-        state(report("near"), 0),
-        state(report("far", { region: "bharuch" }), 0),
-        state(report("far-reader", { region: "bharuch", storeAgeMs: 10 }), 0),
+        state(createReport("near"), 0),
+        state(createReport("far", { region: "bharuch" }), 0),
+        state(createReport("far-reader", { region: "bharuch", storeAgeMs: 10 }), 0),
     ];
     const targets = listAnnouncementTargets("kutch", peers, 100, LIMITS);
     assert.deepEqual(targets.map(peer => peer.report.name), ["near", "far-reader"]);
