Log the rate limits that endpoints state, and count the attempts at such endpoints

The codec reads the limit of a response, rate-limit-changed logs each change at an instance, and gypsumstage_rate_limited_attempts_total counts what is sent to such an endpoint. Nothing decides by it yet.

A response counts only if it is the endpoint's own and belongs to the request, so that a garbled one withdraws no limit.

--- a/packages/gypsumstage-instance/src/HeaderCodec.ts
+++ b/packages/gypsumstage-instance/src/HeaderCodec.ts
@@ -20,6 +20,11 @@
         headers: IncomingHttpHeaders,
         requestId: string | undefined,
     ) => ResponseFacts;
+    /**
+     * Reads the rate limit that an endpoint states in a response: requests per second from all instances together;
+     * undefined when the header is absent or malformed.
+     */
+    readonly readRateLimit: (headers: IncomingHttpHeaders) => number | undefined;
     /** Reads the response to a health check. */
     readonly readHealthCheck: (status: number, headers: IncomingHttpHeaders) => {
         readonly isHealthy: boolean;
--- a/packages/gypsumstage-instance/src/InstanceMetrics.ts
+++ b/packages/gypsumstage-instance/src/InstanceMetrics.ts
@@ -8,6 +8,8 @@
     readonly recordReply: (reply: Reply, labels: ReplyLabels, tookMs: number) => void;
     /** Records the time from a request's arrival to its first attempt at an endpoint. */
     readonly recordWait: (service: string, waitedMs: number) => void;
+    /** Counts an attempt at an endpoint that is known to have stated a rate limit. */
+    readonly countRateLimitedAttempt: (service: string) => void;
     readonly recordAttempt: (service: string, classification: string, tookMs: number) => void;
     /** Records a fetch of a topic from a peer: what came of it, the records received and the time it took. */
     readonly recordTopicPull: (topic: string, result: string, records: number, tookMs: number) => void;
--- a/packages/gypsumstage-instance/src/createInstanceMetrics.ts
+++ b/packages/gypsumstage-instance/src/createInstanceMetrics.ts
@@ -87,6 +87,12 @@
         "Time of attempts at endpoints, by service and what came of them",
         ["service", "verdict"],
     );
+    const rateLimitedAttempts = new Counter({
+        name: "gypsumstage_rate_limited_attempts_total",
+        help: "Attempts at endpoints that had stated a rate limit, by service",
+        labelNames: ["service"],
+        registers: [registry],
+    });
     const storeCalls = new Counter({
         name: "gypsumstage_store_calls_total",
         help: "Calls to the store, by topic and what came of them",
@@ -126,6 +132,7 @@
             latency.observe({ service, kind, outcome: reply.kind }, tookMs / MS_PER_SECOND);
         },
         recordWait: (service, waitedMs) => waits.observe({ service }, waitedMs / MS_PER_SECOND),
+        countRateLimitedAttempt: service => rateLimitedAttempts.inc({ service }),
         recordAttempt: (service, classification, tookMs) =>
             attempts.observe({ service, verdict: classification }, tookMs / MS_PER_SECOND),
         recordTopicPull: (topic, result, records, tookMs) => {
--- a/packages/gypsumstage-instance/src/request/RequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/RequestContext.ts
@@ -4,6 +4,7 @@
 import type { InstanceMetrics } from "../InstanceMetrics.js";
 import type { PeerExchange } from "../peers/PeerExchange.js";
 import type { ColdRateLimiter } from "../upstream/ColdRateLimiter.js";
+import type { EndpointRateLimits } from "../upstream/EndpointRateLimits.js";
 import type { EndpointTracker } from "../upstream/EndpointTracker.js";
 import type { UpstreamPool } from "../upstream/UpstreamPool.js";
 import type { LocalPrimaryShares } from "./LocalPrimaryShares.js";
@@ -21,6 +22,7 @@
     readonly pool: UpstreamPool;
     readonly peers: PeerExchange;
     readonly coldRateLimiter: ColdRateLimiter;
+    readonly rateLimits: EndpointRateLimits;
     readonly retryBudget: RetryBudget;
     readonly chooseService: ServiceChooser;
     readonly localPrimaryShare: LocalPrimaryShares;
--- a/packages/gypsumstage-instance/src/request/startAttempt.ts
+++ b/packages/gypsumstage-instance/src/request/startAttempt.ts
@@ -35,7 +35,7 @@
  * Sends a request to an endpoint. When the attempt finishes, classifies its outcome, updates the health of
  * the endpoint and the metrics, and logs a failure.
  *
- * @param ctx - provides the connection pool; its tracker, limiter for cold endpoints, metrics and log are updated
+ * @param ctx - provides the connection pool; its tracker, limiters, metrics and log are updated
  * @param req - the caller's request
  * @param endpoint - the endpoint to which the request is sent
  * @param key - identifies the object, to record where its data are warm
@@ -60,6 +60,9 @@
     if (tracker.health(endpoint.id).coldUntilMs > startedAtMs) {
         ctx.coldRateLimiter.take(endpoint);
     }
+    if (ctx.rateLimits.ratePerSecond(endpoint) !== undefined) {
+        ctx.metrics.countRateLimitedAttempt(endpoint.service);
+    }
     const endInFlight = tracker.trackRequest(endpoint.id, key);
     const attempt = ctx.pool.send(endpoint.address, {
         method: req.method,
@@ -89,10 +92,18 @@
             }
         }
     };
+    const recordRateLimit = (outcome: AttemptOutcome, classification: AttemptClassification): void => {
+        const isFromEndpoint = classification.kind === "final"
+            || (classification.kind === "not-run" && classification.reason !== "other-endpoint");
+        if (outcome.kind === "answered" && isFromEndpoint) {
+            ctx.rateLimits.observe(endpoint, ctx.headerCodec.readRateLimit(outcome.headers));
+        }
+    };
     const finished = attempt.outcome.then((outcome): FinishedAttempt => {
         endInFlight();
         const classification = classifyOutcome(ctx, req, outcome);
         recordHealth(outcome, classification);
+        recordRateLimit(outcome, classification);
         ctx.metrics.recordAttempt(endpoint.service, classification.kind, monotonicNow() - startedAtMs);
         if (classification.kind !== "final" && outcome.kind !== "aborted") {
             ctx.log("info", "attempt-failed", {
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -26,6 +26,7 @@
 import { countStoreCalls } from "./store/countStoreCalls.js";
 import { followTopics } from "./store/followTopics.js";
 import { createColdRateLimiter } from "./upstream/createColdRateLimiter.js";
+import { createEndpointRateLimits } from "./upstream/createEndpointRateLimits.js";
 import { createEndpointTracker } from "./upstream/createEndpointTracker.js";
 import { createUpstreamPool } from "./upstream/createUpstreamPool.js";
 import { registerHealthChecks } from "./upstream/registerHealthChecks.js";
@@ -49,6 +50,7 @@
     let cfg = initialCfg;
     const incarnation = createUniqueId();
     const tracker = createEndpointTracker();
+    const rateLimits = createEndpointRateLimits(log);
     const pool = createUpstreamPool();
     const rpc = createRpcClient(RPC_TIMEOUT_MS);
     let storeAgeMs = (): number | undefined => undefined;
@@ -60,6 +62,7 @@
             tracker.recordHealthEvent(id, { kind: "cold", untilMs: nowMs + coldMs });
         }
         tracker.keepOnly(view.endpoints);
+        rateLimits.keepOnly(view.endpoints);
         if (view.policy !== undefined) {
             requestServer.applyLimits(view.policy.limits);
         }
@@ -116,6 +119,7 @@
             () => [cfg, ...peers.live().map(peer => peer.report)],
             getColdRate,
         ),
+        rateLimits,
         retryBudget,
         localPrimaryShare: createLocalPrimaryShares(cfg.region, fleet.view, () => [
             { region: cfg.region, demand: retryBudget.demand() },
