Send a rate-limited endpoint only requests with a permit of one issuer

Cause: no code read the limit. The class: a bound on the sum over instances that each would have to keep alone. A share for each instance does not do: 3 a second over 84 instances is nothing for each, while requests come at few of them.

Change: one instance near the endpoint (its data centre, else its region, rendezvous hashing) issues permits from one bucket; a request to such an endpoint needs one, first attempts and retries alike. Without one it goes to another candidate endpoint, or is refused at once with the time at which a permit may be there. Hedges are not sent to such endpoints. Several permits are granted at once at high rates; denied instances come back one after the other. The sum holds under cuts and restarts: a new issuer's bucket is empty, an instance that does not see itself as the issuer issues nothing, one that is cut off issues only the share of the nearest instances that it sees, and one that cannot reach the issuer sends nothing.

Why it works: the endpoint's data centre decides who issues, and whoever is cut off from that is mostly cut off from the endpoint. Ruled out: equal shares, and a few owners as for cold endpoints (at 84 instances three owners see 3 of 28 of a region's requests).

The ranking of instances is cached in one place for both limiters of endpoints (createEndpointCache).

The test of withdrawal now uses objects that no endpoint holds yet: with one object its requests rightly stay where it has become warm; its bound is on each instance now.

--- a/packages/gypsumstage-instance/src/InstanceMetrics.ts
+++ b/packages/gypsumstage-instance/src/InstanceMetrics.ts
@@ -10,6 +10,8 @@
     readonly recordWait: (service: string, waitedMs: number) => void;
     /** Counts an attempt at an endpoint that is known to have stated a rate limit. */
     readonly countRateLimitedAttempt: (service: string) => void;
+    /** Counts a permit for a request to a rate-limited endpoint. */
+    readonly countPermit: (service: string, result: "granted" | "denied") => void;
     readonly recordAttempt: (service: string, classification: string, tookMs: number) => void;
     /** Records a fetch of a topic from a peer: what came of it, the records received and the time it took. */
     readonly recordTopicPull: (topic: string, result: string, records: number, tookMs: number) => void;
--- a/packages/gypsumstage-instance/src/createInstanceMetrics.ts
+++ b/packages/gypsumstage-instance/src/createInstanceMetrics.ts
@@ -93,6 +93,12 @@
         labelNames: ["service"],
         registers: [registry],
     });
+    const permits = new Counter({
+        name: "gypsumstage_permits_total",
+        help: "Permits for requests to rate-limited endpoints, by service and what came of them",
+        labelNames: ["service", "result"],
+        registers: [registry],
+    });
     const storeCalls = new Counter({
         name: "gypsumstage_store_calls_total",
         help: "Calls to the store, by topic and what came of them",
@@ -133,6 +139,7 @@
         },
         recordWait: (service, waitedMs) => waits.observe({ service }, waitedMs / MS_PER_SECOND),
         countRateLimitedAttempt: service => rateLimitedAttempts.inc({ service }),
+        countPermit: (service, result) => permits.inc({ service, result }),
         recordAttempt: (service, classification, tookMs) =>
             attempts.observe({ service, verdict: classification }, tookMs / MS_PER_SECOND),
         recordTopicPull: (topic, result, records, tookMs) => {
--- a/packages/gypsumstage-instance/src/request/AttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/AttemptSet.ts
@@ -1,18 +1,24 @@
-import type { Placement } from "@gypsumstage/steering/traffic/Placement";
+import type { AttemptStart } from "./AttemptStart.js";
 import type { FinishedAttempt } from "./FinishedAttempt.js";
 import type { PlacementTrace } from "./PlacementTrace.js";
 
 /** The attempts of one request. */
 export interface AttemptSet {
-    /** Chooses an endpoint that has not been tried yet and, if there is one, sends the request to it. */
-    readonly startNext: () => Placement;
-    /** Does the same for a hedge: only at an endpoint with a free slot, and only within the retry budget. */
-    readonly startHedge: () => Placement;
+    /**
+     * Chooses an endpoint that has not been tried yet and, if there is one, sends the request to it. Waits for a permit if
+     * the endpoint is rate-limited.
+     */
+    readonly startNext: () => Promise<AttemptStart>;
+    /**
+     * Does the same for a hedge: only at an endpoint with a free slot and without a rate limit, and only within the
+     * retry budget.
+     */
+    readonly startHedge: () => void;
     /** Promises of the results of the running attempts. */
     readonly running: () => readonly Promise<FinishedAttempt>[];
     /** Removes a finished attempt from the running ones and records its result. */
     readonly recordFinished: (attempt: FinishedAttempt) => void;
-    /** Aborts all running attempts. */
+    /** Aborts all running attempts; no further one starts. */
     readonly abort: () => void;
     /** Whether an endpoint may have run the request, in a finished or a running attempt. */
     readonly mayHaveRun: () => boolean;
--- /dev/null
+++ b/packages/gypsumstage-instance/src/request/AttemptStart.ts
@@ -0,0 +1,9 @@
+import type { Placement } from "@gypsumstage/steering/traffic/Placement";
+
+/** What came of starting an attempt: the endpoint that it was sent to, or why it was not sent. */
+export type AttemptStart =
+    | Placement
+    /** Other endpoints could not take the request, and permits for the rate-limited ones are denied for now. */
+    | { readonly kind: "rate-limited"; readonly retryAfterMs: number; }
+    /** The caller left, or the request ended, before the attempt could be sent. */
+    | { readonly kind: "abandoned"; };
--- a/packages/gypsumstage-instance/src/request/RequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/RequestContext.ts
@@ -3,6 +3,7 @@
 import type { HeaderCodec } from "../HeaderCodec.js";
 import type { InstanceMetrics } from "../InstanceMetrics.js";
 import type { PeerExchange } from "../peers/PeerExchange.js";
+import type { RequestPermits } from "../permits/RequestPermits.js";
 import type { ColdRateLimiter } from "../upstream/ColdRateLimiter.js";
 import type { EndpointRateLimits } from "../upstream/EndpointRateLimits.js";
 import type { EndpointTracker } from "../upstream/EndpointTracker.js";
@@ -23,6 +24,7 @@
     readonly peers: PeerExchange;
     readonly coldRateLimiter: ColdRateLimiter;
     readonly rateLimits: EndpointRateLimits;
+    readonly permits: RequestPermits;
     readonly retryBudget: RetryBudget;
     readonly chooseService: ServiceChooser;
     readonly localPrimaryShare: LocalPrimaryShares;
--- a/packages/gypsumstage-instance/src/request/createAttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/createAttemptSet.ts
@@ -4,6 +4,7 @@
 import type { PlacementCandidate } from "@gypsumstage/steering/traffic/PlacementCandidate";
 import { placeRequest } from "@gypsumstage/steering/traffic/placeRequest";
 import type { AttemptSet } from "./AttemptSet.js";
+import type { AttemptStart } from "./AttemptStart.js";
 import type { CallerRequest } from "./CallerRequest.js";
 import { listPlacementCandidates } from "./listPlacementCandidates.js";
 import type { PlacementTrace } from "./PlacementTrace.js";
@@ -11,14 +12,18 @@
 import type { RunningAttempt } from "./RunningAttempt.js";
 import { startAttempt } from "./startAttempt.js";
 
+/** Permits that one attempt may wait for: one for each of its few candidate endpoints. */
+const MAX_PERMITS = 3;
+const MIN_RETRY_AFTER_MS = 100;
+
 const hasFreeSlot = (candidate: PlacementCandidate): boolean => candidate.inFlight < candidate.slots;
 
 /**
  * Creates the empty set of attempts of one request. Each attempt goes to another endpoint. Endpoints in
  * regions that the shift limiter does not allow at the moment are chosen only if no allowed one can take the
- * request.
+ * request. A request to a rate-limited endpoint needs a permit; while it is denied, other endpoints get the request.
  *
- * @param ctx - provides the view, the typical latencies, the shift limiter and the retry budget
+ * @param ctx - provides the view, the typical latencies, the permits, the shift limiter and the retry budget
  * @param req - the caller's request
  * @param route - the route that the request matched
  * @param service - the service that was chosen for the request
@@ -40,6 +45,7 @@
     let sent = 0;
     let unsent = 0;
     let mayHaveRun = false;
+    let isAborted = false;
     const addTrace = (placement: Placement, candidates: readonly PlacementCandidate[]): void => {
         const candidate = placement.kind === "placed"
             ? candidates.find(each => each.id === placement.id)
@@ -63,31 +69,67 @@
         const placement = placeRequest(allowed, typicalMs, remainingMs);
         return placement.kind === "placed" ? placement : placeRequest(candidates, typicalMs, remainingMs);
     };
-    const placeAndStart = (candidates: readonly PlacementCandidate[]): Placement => {
-        const placement = choosePlacement(candidates);
+    const start = (placement: Placement, candidates: readonly PlacementCandidate[]): void => {
+        const endpoint = placement.kind === "placed" ? ctx.view().endpoints.get(placement.id) : undefined;
+        if (endpoint === undefined) {
+            return;
+        }
         addTrace(placement, candidates);
+        if (tried.size === 0) {
+            ctx.metrics.recordWait(service, monotonicNow() - req.arrivedAtMs);
+        }
+        tried.add(endpoint.id);
+        ctx.regionShiftLimiter.recordPlacement(endpoint.region);
+        running.set(
+            endpoint.id,
+            startAttempt(ctx, req, endpoint, key, deadlineAtMs, route.targetLatencyMs),
+        );
+        sent += 1;
+    };
+    const explainNoEndpoint = (): AttemptStart => {
+        const waitsMs = (ctx.view().endpointsByService.get(service) ?? [])
+            .filter(endpoint => !tried.has(endpoint.id))
+            .map(ctx.permits.deniedForMs)
+            .filter(deniedForMs => deniedForMs > 0);
+        return waitsMs.length === 0
+            ? { kind: "no-endpoint" }
+            : { kind: "rate-limited", retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, ...waitsMs) };
+    };
+    const takePermit = async (placement: Placement): Promise<boolean> => {
         const endpoint = placement.kind === "placed" ? ctx.view().endpoints.get(placement.id) : undefined;
-        if (endpoint !== undefined) {
-            if (tried.size === 0) {
-                ctx.metrics.recordWait(service, monotonicNow() - req.arrivedAtMs);
+        return endpoint === undefined || ctx.permits.take(endpoint);
+    };
+    const startNext = async (): Promise<AttemptStart> => {
+        for (let permits = 0; permits < MAX_PERMITS; permits++) {
+            const candidates = listPlacementCandidates(ctx, route, service, key, tried);
+            const placement = choosePlacement(candidates);
+            if (placement.kind !== "placed") {
+                return placement.kind === "no-endpoint" ? explainNoEndpoint() : placement;
+            }
+            const isPermitted = await takePermit(placement);
+            if (isAborted) {
+                return { kind: "abandoned" };
+            }
+            if (isPermitted) {
+                start(placement, candidates);
+                return placement;
             }
-            tried.add(endpoint.id);
-            ctx.regionShiftLimiter.recordPlacement(endpoint.region);
-            running.set(
-                endpoint.id,
-                startAttempt(ctx, req, endpoint, key, deadlineAtMs, route.targetLatencyMs),
-            );
-            sent += 1;
         }
-        return placement;
+        return explainNoEndpoint();
+    };
+    const needsNoPermit = (candidate: PlacementCandidate): boolean => {
+        const endpoint = ctx.view().endpoints.get(candidate.id);
+        return endpoint !== undefined && !ctx.permits.isNeeded(endpoint);
     };
     return {
-        startNext: () => placeAndStart(listPlacementCandidates(ctx, route, service, key, tried)),
+        startNext,
         startHedge: () => {
-            const free = listPlacementCandidates(ctx, route, service, key, tried).filter(hasFreeSlot);
-            return free.length > 0 && ctx.retryBudget.tryTake(service)
-                ? placeAndStart(free)
-                : { kind: "no-endpoint" };
+            const free = listPlacementCandidates(ctx, route, service, key, tried)
+                .filter(hasFreeSlot)
+                .filter(needsNoPermit);
+            if (free.length > 0 && ctx.retryBudget.tryTake(service)) {
+                start(choosePlacement(free), free);
+            }
         },
         running: () => [...running.values()].map(attempt => attempt.finished),
         recordFinished: attempt => {
@@ -99,7 +141,10 @@
             }
         },
         placements: () => placements,
-        abort: () => running.forEach(attempt => attempt.abort()),
+        abort: () => {
+            isAborted = true;
+            running.forEach(attempt => attempt.abort());
+        },
         mayHaveRun: () => mayHaveRun || running.size > 0,
         sentCount: () => sent,
         unsentCount: () => unsent,
--- a/packages/gypsumstage-instance/src/request/createServeEventHandler.ts
+++ b/packages/gypsumstage-instance/src/request/createServeEventHandler.ts
@@ -37,7 +37,7 @@
     service: string,
     deadlineAtMs: number,
     retryBudget: RetryBudget,
-): (event: ServeEvent) => Reply | undefined => {
+): (event: ServeEvent) => Promise<Reply | undefined> => {
     /** The last error response of an endpoint; it is the reply if no other attempt succeeds. */
     let errorReply: Reply | undefined;
     const canRetry = (): boolean =>
@@ -53,11 +53,11 @@
             ? { kind: "failed", reason, isTimeout }
             : { kind: "refused", reason, retryAfterMs: REFUSED_RETRY_AFTER_MS };
     };
-    const retryOrEnd = (attempt: FinishedAttempt): Reply | undefined => {
+    const retryOrEnd = async (attempt: FinishedAttempt): Promise<Reply | undefined> => {
         const isUnbudgeted = !attempt.wasSent && attempts.unsentCount() <= MAX_UNBUDGETED_RETRIES;
         const isRetried = canRetry()
             && (isUnbudgeted || retryBudget.tryTake(service))
-            && attempts.startNext().kind === "placed";
+            && (await attempts.startNext()).kind === "placed";
         if (isRetried || attempts.running().length > 0) {
             return undefined;
         }
@@ -67,7 +67,7 @@
             false,
         );
     };
-    const handleFinished = (attempt: FinishedAttempt): Reply | undefined => {
+    const handleFinished = async (attempt: FinishedAttempt): Promise<Reply | undefined> => {
         attempts.recordFinished(attempt);
         if (attempt.classification.kind !== "final") {
             return retryOrEnd(attempt);
@@ -84,7 +84,7 @@
             attempts.startHedge();
         }
     };
-    return event => {
+    return async event => {
         switch (event.kind) {
             case "caller-gone":
                 attempts.abort();
--- a/packages/gypsumstage-instance/src/request/listPlacementCandidates.ts
+++ b/packages/gypsumstage-instance/src/request/listPlacementCandidates.ts
@@ -36,7 +36,8 @@
         return !tried.has(endpoint.id) && !health.needsHealthCheck && health.backoffUntilMs <= nowMs;
     });
     return reachable.filter(endpoint =>
-        !isCold(ctx, endpoint, nowMs) || ctx.coldRateLimiter.isAvailable(endpoint)
+        (!isCold(ctx, endpoint, nowMs) || ctx.coldRateLimiter.isAvailable(endpoint))
+        && ctx.permits.deniedForMs(endpoint) === 0
     );
 };
 
--- a/packages/gypsumstage-instance/src/request/serveRequest.ts
+++ b/packages/gypsumstage-instance/src/request/serveRequest.ts
@@ -52,9 +52,13 @@
     const timeoutAtMs = req.arrivedAtMs + route.timeoutMs;
     const deadlineAtMs = Math.min(timeoutAtMs, req.callerDeadlineAtMs ?? timeoutAtMs);
     const attempts = createAttemptSet(ctx, req, route, service, key, deadlineAtMs);
-    const first = attempts.startNext();
+    void callerDisconnect.then(attempts.abort);
+    const first = await attempts.startNext();
+    if (first.kind === "abandoned") {
+        return { reply: { kind: "abandoned" }, labels };
+    }
     if (first.kind !== "placed") {
-        const retryAfterMs = first.kind === "no-room" ? first.retryAfterMs : NO_ENDPOINT_RETRY_AFTER_MS;
+        const retryAfterMs = first.kind === "no-endpoint" ? NO_ENDPOINT_RETRY_AFTER_MS : first.retryAfterMs;
         return { reply: { kind: "refused", reason: first.kind, retryAfterMs }, labels };
     }
     const typicalMs = ctx.tracker.typicalMs(service, route.targetLatencyMs);
@@ -83,7 +87,7 @@
         while (reply === undefined) {
             const event = await nextEvent();
             isHedgePending &&= event.kind !== "hedge-due";
-            reply = handleEvent(event);
+            reply = await handleEvent(event);
         }
         logSlowOrFailedRequest(ctx, req, route, service, attempts, reply);
         return { reply, labels };
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -13,6 +13,7 @@
 import type { InstanceConfig } from "./InstanceConfig.js";
 import type { InstancePhase } from "./InstancePhase.js";
 import { startPeerExchange } from "./peers/startPeerExchange.js";
+import { startPermits } from "./permits/startPermits.js";
 import type { PlatformAdapter } from "./PlatformAdapter.js";
 import { createLocalPrimaryShares } from "./request/createLocalPrimaryShares.js";
 import { createRegionShiftLimiter } from "./request/createRegionShiftLimiter.js";
@@ -105,6 +106,14 @@
         ...(isReady() ? [{ ...cfg, address: cfg.listen.requests }] : []),
         ...peers.live().map(peer => peer.report).filter(report => report.isReady),
     ];
+    const permits = startPermits(
+        () => ({ ...cfg, internalAddress: cfg.listen.internal, isReady: isReady() }),
+        peers,
+        fleet.view,
+        rateLimits,
+        metrics,
+        log,
+    );
     const getColdRate = (service: string): number =>
         fleet.view().policy?.services.find(each => each.name === service)?.coldRequestsPerSecond ?? 1;
     const ctx: RequestContext = {
@@ -120,6 +129,7 @@
             getColdRate,
         ),
         rateLimits,
+        permits: permits.permits,
         retryBudget,
         localPrimaryShare: createLocalPrimaryShares(cfg.region, fleet.view, () => [
             { region: cfg.region, demand: retryBudget.demand() },
@@ -147,6 +157,7 @@
         registry: metrics.registry,
         isReady,
         readyInstances,
+        permitIssuer: permits.issuer,
     });
     const stopHealthChecks = registerHealthChecks(fleet.view, tracker, pool, platform.headerCodec, log);
     const followedTopics = followTopics(
@@ -175,7 +186,13 @@
         followedTopics.stop();
         peers.stop();
         fleet.stop();
-        await Promise.all([platform.store.close(), rpc.close(), pool.close(), closeListeners()]);
+        await Promise.all([
+            platform.store.close(),
+            rpc.close(),
+            permits.stop(),
+            pool.close(),
+            closeListeners(),
+        ]);
     };
     let stopped: Promise<void> | undefined;
     return {
--- a/packages/gypsumstage-instance/src/startListeners.ts
+++ b/packages/gypsumstage-instance/src/startListeners.ts
@@ -7,6 +7,7 @@
 import { createTopicUpdate } from "@gypsumstage/steering/traffic/createTopicUpdate";
 import { listPermittedRegions } from "@gypsumstage/steering/traffic/listPermittedRegions";
 import type { PeerView } from "@gypsumstage/steering/traffic/PeerView";
+import type { PermitDecision } from "@gypsumstage/steering/traffic/PermitDecision";
 import type { TopicUpdate } from "@gypsumstage/steering/traffic/TopicUpdate";
 import type { Server } from "node:http";
 import type { Registry } from "prom-client";
@@ -15,6 +16,8 @@
 import { registerLookupRoute } from "./lookup/registerLookupRoute.js";
 import { registerReadinessRoute } from "./lookup/registerReadinessRoute.js";
 import type { TopicQuery } from "./peers/TopicQuery.js";
+import type { PermitIssuer } from "./permits/PermitIssuer.js";
+import type { PermitQuery } from "./permits/PermitQuery.js";
 import type { PlatformAdapter } from "./PlatformAdapter.js";
 
 /** State and settings that the servers of an instance use. */
@@ -25,6 +28,7 @@
     readonly registry: Registry;
     readonly isReady: () => boolean;
     readonly readyInstances: () => readonly PeerView[];
+    readonly permitIssuer: PermitIssuer;
 }
 
 /**
@@ -45,6 +49,7 @@
             const { topic, since, areNamesNeeded = false } = params as TopicQuery;
             return createTopicUpdate(deps.fleet.topics[topic].get(), since, areNamesNeeded);
         },
+        "permit.issue": (params): PermitDecision => deps.permitIssuer.issue(params as PermitQuery),
     });
     const metrics = createHttpServer(listen.metrics);
     registerMetrics(metrics.app, deps.registry);
--- a/packages/gypsumstage-instance/src/upstream/createColdRateLimiter.ts
+++ b/packages/gypsumstage-instance/src/upstream/createColdRateLimiter.ts
@@ -3,6 +3,7 @@
 import { listColdOwners } from "@gypsumstage/steering/traffic/listColdOwners";
 import type { PeerReport } from "@gypsumstage/steering/traffic/PeerReport";
 import type { ColdRateLimiter } from "./ColdRateLimiter.js";
+import { createEndpointCache } from "./createEndpointCache.js";
 
 /**
  * Instances that share a cold endpoint's rate limit (its owners). For a while more may act as owners, because
@@ -30,20 +31,10 @@
     getRate: (service: string) => number,
 ): ColdRateLimiter => {
     const nextAtMs = new Map<string, number>();
-    const ownership = new Map<string, { readonly isOwner: boolean; readonly untilMs: number; }>();
-    const isOwner = (endpoint: UpstreamEndpoint): boolean => {
-        const nowMs = monotonicNow();
-        const known = ownership.get(endpoint.id);
-        if (known !== undefined && nowMs < known.untilMs) {
-            return known.isOwner;
-        }
-        for (const [id] of [...ownership].filter(([, { untilMs }]) => untilMs <= nowMs)) {
-            ownership.delete(id);
-        }
-        const isOwnerNow = listColdOwners(endpoint, live(), OWNERS).includes(ownName);
-        ownership.set(endpoint.id, { isOwner: isOwnerNow, untilMs: nowMs + OWNERS_TTL_MS });
-        return isOwnerNow;
-    };
+    const isOwner = createEndpointCache(
+        OWNERS_TTL_MS,
+        endpoint => listColdOwners(endpoint, live(), OWNERS).includes(ownName),
+    );
     return {
         isAvailable: endpoint => (nextAtMs.get(endpoint.id) ?? 0) <= monotonicNow() && isOwner(endpoint),
         take: (endpoint: UpstreamEndpoint) => {
