Spread the rate limits that endpoints state to all instances

Change: an instance that learns something new (a notice) sends it to three others at random, six rounds, 100 ms apart; whoever learns by it does the same. An instance that has started, or was cut off from half of the others, fetches all notices from one instance and spreads its own again.

Of two statements the later one counts, by their age, so clocks are not compared.

--- /dev/null
+++ b/packages/gypsumstage-instance/src/peers/NOTICES_METHOD.ts
@@ -0,0 +1,2 @@
+/** JSON-RPC method of notices. */
+export const NOTICES_METHOD = "peer.notices";
--- a/packages/gypsumstage-instance/src/peers/PeerExchange.ts
+++ b/packages/gypsumstage-instance/src/peers/PeerExchange.ts
@@ -1,5 +1,6 @@
 import type { PeerState } from "@gypsumstage/steering/traffic/PeerState";
 import type { TopicAnnouncement } from "@gypsumstage/steering/traffic/TopicAnnouncement";
+import type { Notice } from "../notices/Notice.js";
 
 /** The latest reports of the other instances. */
 export interface PeerExchange {
@@ -9,6 +10,10 @@
     readonly all: () => readonly PeerState[];
     /** Sends an announcement to the given instances. */
     readonly announce: (announcement: TopicAnnouncement, targets: readonly PeerState[]) => void;
+    /** Sends notices to the given instances, in one message. */
+    readonly notify: (notices: readonly Notice[], targets: readonly PeerState[]) => void;
+    /** Registers a function that is called with the notices of each message. */
+    readonly registerNoticeListener: (listener: (notices: readonly Notice[]) => void) => () => void;
     /** Instances that share a fleet-wide limit: the live ones, those silent but not yet removed, and this one. */
     readonly fleetSize: () => number;
     /** Requests in flight at an endpoint from the other instances, as last reported. */
--- a/packages/gypsumstage-instance/src/peers/PeerSocket.ts
+++ b/packages/gypsumstage-instance/src/peers/PeerSocket.ts
@@ -1,12 +1,13 @@
 import type { PeerReport } from "@gypsumstage/steering/traffic/PeerReport";
 import type { TopicAnnouncement } from "@gypsumstage/steering/traffic/TopicAnnouncement";
+import type { NoticeMessage } from "./NoticeMessage.js";
 
 /** Sends messages to other instances by datagram. */
 export interface PeerSocket {
     /** Sends a JSON-RPC notification to each of the addresses, written `IP:port`; malformed ones are skipped. */
     readonly send: (
         method: string,
-        params: PeerReport | TopicAnnouncement,
+        params: PeerReport | TopicAnnouncement | NoticeMessage,
         addresses: readonly string[],
     ) => void;
     readonly close: () => void;
--- a/packages/gypsumstage-instance/src/peers/TOPICS_METHOD.ts
+++ b/packages/gypsumstage-instance/src/peers/TOPICS_METHOD.ts
@@ -1,2 +1,2 @@
-/** JSON-RPC method of announcements; every other method counts as a report. */
+/** JSON-RPC method of announcements; a method other than this and that of notices counts as a report. */
 export const TOPICS_METHOD = "peer.topics";
--- a/packages/gypsumstage-instance/src/peers/parsePeerMessage.ts
+++ b/packages/gypsumstage-instance/src/peers/parsePeerMessage.ts
@@ -4,6 +4,9 @@
 import { success } from "@gypsumstage/shared/success";
 import type { PeerReport } from "@gypsumstage/steering/traffic/PeerReport";
 import type { TopicAnnouncement } from "@gypsumstage/steering/traffic/TopicAnnouncement";
+import type { Notice } from "../notices/Notice.js";
+import type { NoticeMessage } from "./NoticeMessage.js";
+import { NOTICES_METHOD } from "./NOTICES_METHOD.js";
 import type { PeerMessage } from "./PeerMessage.js";
 import type { ReportError } from "./ReportError.js";
 import { TOPICS_METHOD } from "./TOPICS_METHOD.js";
@@ -21,10 +24,19 @@
     && typeof params.incarnation === "string"
     && typeof params.topics === "object";
 
+const isNotice = (notice: Partial<Notice> | undefined): boolean =>
+    typeof notice?.topic === "string" && typeof notice.content === "object";
+
+const areNotices = (params: Partial<NoticeMessage> | undefined): params is NoticeMessage =>
+    Array.isArray(params?.notices) && params.notices.every(isNotice);
+
 const parseParams = (
     method: string | undefined,
-    params: Partial<PeerReport> | undefined,
+    params: Partial<PeerReport & NoticeMessage> | undefined,
 ): PeerMessage | undefined => {
+    if (method === NOTICES_METHOD) {
+        return areNotices(params) ? { kind: "notices", notices: params.notices } : undefined;
+    }
     if (method === TOPICS_METHOD) {
         return isAnnouncement(params) ? { kind: "announcement", announcement: params } : undefined;
     }
@@ -41,7 +53,7 @@
     try {
         const { method, params } = JSON.parse(bytes.toString("utf8")) as {
             readonly method?: string;
-            readonly params?: Partial<PeerReport>;
+            readonly params?: Partial<PeerReport & NoticeMessage>;
         };
         const message = parseParams(method, params);
         return message === undefined
--- a/packages/gypsumstage-instance/src/peers/startPeerExchange.ts
+++ b/packages/gypsumstage-instance/src/peers/startPeerExchange.ts
@@ -7,6 +7,7 @@
 import { recordTopicAnnouncement } from "@gypsumstage/steering/traffic/recordTopicAnnouncement";
 import type { InstanceMetrics } from "../InstanceMetrics.js";
 import { createReportRotation } from "./createReportRotation.js";
+import { NOTICES_METHOD } from "./NOTICES_METHOD.js";
 import { openPeerSocket } from "./openPeerSocket.js";
 import type { PeerExchange } from "./PeerExchange.js";
 import type { PeerMessage } from "./PeerMessage.js";
@@ -51,6 +52,7 @@
     let inFlightTotals: ReadonlyMap<string, number> = new Map();
     const unconfirmedAddresses = new Set<string>(seeds);
     const loggedNames = new Set<string>();
+    const noticeListeners = new Set<Parameters<PeerExchange["registerNoticeListener"]>[0]>();
     const reportIntervalMs = (): number => getRoundMs(peers.size);
     const live = (): ReturnType<PeerExchange["live"]> =>
         listLivePeers(
@@ -91,11 +93,15 @@
     };
     const receive = (message: PeerMessage): void => {
         const nowMs = monotonicNow();
-        if (message.kind === "report") {
-            receiveReport(message.report, nowMs);
-        }
-        else {
-            peers = recordTopicAnnouncement(peers, message.announcement, nowMs);
+        switch (message.kind) {
+            case "report":
+                receiveReport(message.report, nowMs);
+                return;
+            case "announcement":
+                peers = recordTopicAnnouncement(peers, message.announcement, nowMs);
+                return;
+            case "notices":
+                noticeListeners.forEach(listener => listener(message.notices));
         }
     };
     const socket = await openPeerSocket(internalAddress, receive, metrics, log);
@@ -129,6 +135,14 @@
         all: () => [...peers.values()],
         announce: (announcement, targets) =>
             socket.send(TOPICS_METHOD, announcement, targets.map(peer => peer.report.internalAddress)),
+        notify: (notices, targets) =>
+            socket.send(NOTICES_METHOD, { notices }, targets.map(peer => peer.report.internalAddress)),
+        registerNoticeListener: listener => {
+            noticeListeners.add(listener);
+            return () => {
+                noticeListeners.delete(listener);
+            };
+        },
         fleetSize: () => peers.size + 1,
         inFlight: endpointId => inFlightTotals.get(endpointId) ?? 0,
         stop: () => {
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -12,6 +12,7 @@
 import type { Instance } from "./Instance.js";
 import type { InstanceConfig } from "./InstanceConfig.js";
 import type { InstancePhase } from "./InstancePhase.js";
+import { startNoticeExchange } from "./notices/startNoticeExchange.js";
 import { startPeerExchange } from "./peers/startPeerExchange.js";
 import { startPermits } from "./permits/startPermits.js";
 import type { PlatformAdapter } from "./PlatformAdapter.js";
@@ -51,7 +52,6 @@
     let cfg = initialCfg;
     const incarnation = createUniqueId();
     const tracker = createEndpointTracker();
-    const rateLimits = createEndpointRateLimits(log);
     const pool = createUpstreamPool();
     const rpc = createRpcClient(RPC_TIMEOUT_MS);
     let storeAgeMs = (): number | undefined => undefined;
@@ -69,6 +69,7 @@
         }
     };
     const fleet = startFleetState(onViewChange, log);
+    const rateLimits = createEndpointRateLimits(id => fleet.view().endpoints.get(id), log);
     const isReady = (): boolean => {
         const view = fleet.view();
         return phase === "serving" && view.policy !== undefined && view.isComplete;
@@ -106,6 +107,7 @@
         ...(isReady() ? [{ ...cfg, address: cfg.listen.requests }] : []),
         ...peers.live().map(peer => peer.report).filter(report => report.isReady),
     ];
+    const notices = startNoticeExchange([rateLimits.topic], peers, rpc, log);
     const permits = startPermits(
         () => ({ ...cfg, internalAddress: cfg.listen.internal, isReady: isReady() }),
         peers,
@@ -158,6 +160,7 @@
         isReady,
         readyInstances,
         permitIssuer: permits.issuer,
+        readNotices: notices.readAll,
     });
     const stopHealthChecks = registerHealthChecks(fleet.view, tracker, pool, platform.headerCodec, log);
     const followedTopics = followTopics(
@@ -184,6 +187,7 @@
         log("info", "left", { requestsCut });
         stopHealthChecks();
         followedTopics.stop();
+        notices.stop();
         peers.stop();
         fleet.stop();
         await Promise.all([
--- a/packages/gypsumstage-instance/src/startListeners.ts
+++ b/packages/gypsumstage-instance/src/startListeners.ts
@@ -15,6 +15,7 @@
 import type { InstanceConfig } from "./InstanceConfig.js";
 import { registerLookupRoute } from "./lookup/registerLookupRoute.js";
 import { registerReadinessRoute } from "./lookup/registerReadinessRoute.js";
+import type { NoticeExchange } from "./notices/NoticeExchange.js";
 import type { TopicQuery } from "./peers/TopicQuery.js";
 import type { PermitIssuer } from "./permits/PermitIssuer.js";
 import type { PermitQuery } from "./permits/PermitQuery.js";
@@ -29,6 +30,7 @@
     readonly isReady: () => boolean;
     readonly readyInstances: () => readonly PeerView[];
     readonly permitIssuer: PermitIssuer;
+    readonly readNotices: NoticeExchange["readAll"];
 }
 
 /**
@@ -49,6 +51,7 @@
             const { topic, since, areNamesNeeded = false } = params as TopicQuery;
             return createTopicUpdate(deps.fleet.topics[topic].get(), since, areNamesNeeded);
         },
+        "notices.read": () => deps.readNotices(),
         "permit.issue": (params): PermitDecision => deps.permitIssuer.issue(params as PermitQuery),
     });
     const metrics = createHttpServer(listen.metrics);
--- a/packages/gypsumstage-instance/src/upstream/EndpointRateLimits.ts
+++ b/packages/gypsumstage-instance/src/upstream/EndpointRateLimits.ts
@@ -1,6 +1,7 @@
 import type { UpstreamEndpoint } from "@gypsumstage/domain/traffic/UpstreamEndpoint";
+import type { NoticeTopic } from "../notices/NoticeTopic.js";
 
-/** Rate limits that endpoints in need state in their responses. */
+/** Rate limits that endpoints in need state in their responses, to this instance or to others. */
 export interface EndpointRateLimits {
     /** Returns the requests per second that the endpoint takes from all instances together; undefined without a limit. */
     readonly ratePerSecond: (endpoint: UpstreamEndpoint) => number | undefined;
@@ -8,4 +9,6 @@
     readonly observe: (endpoint: UpstreamEndpoint, ratePerSecond: number | undefined) => void;
     /** Evicts the limits of endpoints that are not among the given ones. */
     readonly keepOnly: (endpoints: ReadonlyMap<string, UpstreamEndpoint>) => void;
+    /** Spreads changes to the other instances. */
+    readonly topic: NoticeTopic;
 }
