Log the fingerprint of a request whose connection broke, and the caller of one that was not served

Nothing decides by them yet.

The address is not part of the fingerprint: endpoints don't see it. The parts are computed when first used; a request that no log line needs costs nothing.

--- a/packages/gypsumstage-instance/src/request/CallerRequest.ts
+++ b/packages/gypsumstage-instance/src/request/CallerRequest.ts
@@ -1,4 +1,5 @@
 import type { UpstreamRequest } from "../upstream/UpstreamRequest.js";
+import type { RequestFingerprint } from "./RequestFingerprint.js";
 
 /** A caller's request with its complete body. Times are on the monotonic clock. */
 export interface CallerRequest extends UpstreamRequest {
@@ -9,4 +10,6 @@
     /** When the caller stops waiting for the reply; undefined when it sent no deadline. */
     readonly callerDeadlineAtMs: number | undefined;
     readonly arrivedAtMs: number;
+    /** The same for each repeat of the request, whatever its identifier. */
+    readonly fingerprint: RequestFingerprint;
 }
--- a/packages/gypsumstage-instance/src/request/createRequestHandler.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestHandler.ts
@@ -5,6 +5,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { InstancePhase } from "../InstancePhase.js";
 import type { ReplyLabels } from "../ReplyLabels.js";
+import type { UpstreamRequest } from "../upstream/UpstreamRequest.js";
+import { createRequestFingerprint } from "./createRequestFingerprint.js";
 import type { LabelledReply } from "./LabelledReply.js";
 import { readWholeBody } from "./readWholeBody.js";
 import type { Reply } from "./Reply.js";
@@ -55,19 +57,23 @@
             return withUnknownLabels({ kind: "rejected", reason: "no-route", status: STATUS_NOT_FOUND });
         }
         const metadata = ctx.headerCodec.readRequest(req.headers);
+        const upstreamRequest: UpstreamRequest = {
+            method: req.method ?? "GET",
+            path,
+            headers: dropHopByHopHeaders(req.headers),
+            body,
+        };
         return serveRequest(
             ctx,
             {
+                ...upstreamRequest,
+                fingerprint: createRequestFingerprint(upstreamRequest),
                 id: metadata.requestId,
                 objectKey: route.isSticky ? metadata.objectKey : undefined,
                 callerDeadlineAtMs: metadata.remainingMs === undefined
                     ? undefined
                     : arrivedAtMs + metadata.remainingMs,
                 arrivedAtMs,
-                method: req.method ?? "GET",
-                path,
-                headers: dropHopByHopHeaders(req.headers),
-                body,
             },
             route,
             callerDisconnect,
@@ -134,6 +140,7 @@
             ctx.log("info", "request-not-served", {
                 request: requestId,
                 path: req.url,
+                caller: req.socket.remoteAddress,
                 reply,
                 tookMs: Math.round(tookMs),
                 policyVersion: ctx.view().policy?.version,
--- a/packages/gypsumstage-instance/src/request/startAttempt.ts
+++ b/packages/gypsumstage-instance/src/request/startAttempt.ts
@@ -109,6 +109,7 @@
             ctx.log("info", "attempt-failed", {
                 request: req.id,
                 endpoint: endpoint.id,
+                fingerprint: outcome.kind === "broken" ? req.fingerprint.digest : undefined,
                 verdict: classification,
                 tookMs: Math.round(monotonicNow() - startedAtMs),
             });
