--- a/packages/gypsumstage-instance/src/suspects/createSuspectRequests.ts
+++ b/packages/gypsumstage-instance/src/suspects/createSuspectRequests.ts
@@ -11,6 +11,7 @@
 import type { SuspectRequest } from "@gypsumstage/steering/traffic/SuspectRequest";
 import type { SuspectTable } from "@gypsumstage/steering/traffic/SuspectTable";
 import { updateSuspects } from "@gypsumstage/steering/traffic/updateSuspects";
+import { createChangeListeners } from "../notices/createChangeListeners.js";
 import type { RequestFingerprint } from "../request/RequestFingerprint.js";
 import { createBrokenAttempts } from "./createBrokenAttempts.js";
 import { decodeSuspect } from "./decodeSuspect.js";
@@ -39,7 +40,7 @@
     const suspects = createStore<SuspectTable, SuspectEvent>(new Map(), updateSuspects);
     const brokenAttempts = createBrokenAttempts();
     const probedAtMs = new Map<string, number>();
-    const listeners = new Set<(key: string) => void>();
+    const listeners = createChangeListeners();
     let nextExpiryAtMs = 0;
     let headHashes: ReadonlySet<number> = new Set();
     let culprits: ReadonlySet<string> = new Set();
@@ -61,7 +62,7 @@
         const before = suspects.get().get(digest);
         suspects.dispatch(event);
         if (suspects.get().get(digest) !== before) {
-            listeners.forEach(listener => listener(digest));
+            listeners.notify(digest);
         }
     };
     /** Allows one probe of a request whose circuit breaker is no longer open. */
@@ -141,12 +142,7 @@
                 suspects.dispatch({ kind: "ended", suspect });
                 return suspects.get() === before ? undefined : suspect.digest;
             },
-            registerListener: listener => {
-                listeners.add(listener);
-                return () => {
-                    listeners.delete(listener);
-                };
-            },
+            registerListener: listeners.register,
         },
     };
 };
--- a/packages/gypsumstage-instance/src/upstream/createEndpointRateLimits.ts
+++ b/packages/gypsumstage-instance/src/upstream/createEndpointRateLimits.ts
@@ -1,6 +1,7 @@
 import type { UpstreamEndpoint } from "@gypsumstage/domain/traffic/UpstreamEndpoint";
 import type { Log } from "@gypsumstage/shared/Log";
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import { createChangeListeners } from "../notices/createChangeListeners.js";
 import type { EndpointRateLimits } from "./EndpointRateLimits.js";
 import type { RateLimitNotice } from "./RateLimitNotice.js";
 
@@ -31,7 +32,7 @@
     log: Log,
 ): EndpointRateLimits => {
     const limits = new Map<string, StatedLimit>();
-    const listeners = new Set<(key: string) => void>();
+    const listeners = createChangeListeners();
     const getLimit = (endpoint: UpstreamEndpoint): StatedLimit | undefined => {
         const limit = limits.get(endpoint.id);
         return limit?.startedAt === endpoint.startedAt ? limit : undefined;
@@ -91,7 +92,7 @@
         ratePerSecond: endpoint => getLimit(endpoint)?.ratePerSecond,
         observe: (endpoint, ratePerSecond) => {
             if (record(endpoint, ratePerSecond, monotonicNow(), "response")) {
-                listeners.forEach(listener => listener(endpoint.id));
+                listeners.notify(endpoint.id);
             }
         },
         keepOnly: endpoints => {
@@ -104,12 +105,7 @@
             keys: () => [...limits.keys()],
             read,
             merge,
-            registerListener: listener => {
-                listeners.add(listener);
-                return () => {
-                    listeners.delete(listener);
-                };
-            },
+            registerListener: listeners.register,
         },
     };
 };
