Let an instance own no cold endpoint and issue no permits before it knows the others

When 84 instances start at once, each may send a cold endpoint a request at once, where 18 in a second are allowed at 6.8 a second.

Change: for the first second of a process neither holds. The same was tried for the slack of the retry budget and taken back: five tests of an instance failed, because a request that an endpoint refused was not retried in that second; and no bound is in danger there, as a fleet cannot retry more in a second than it gets, a tenth of the window's requests, where a fifth is allowed.

--- a/packages/gypsumstage-instance/src/__tests__/integration/peerExchange.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/integration/peerExchange.test.ts
@@ -65,3 +65,11 @@
     }
     assert.ok(exchanges.every(exchange => exchange.fleetSize() === FLEET));
 });
+
+test("an instance does not take itself for the whole fleet right after its start", async () => {
+    const exchange = await startExchange("n-new", `127.0.0.1:${await findFreePort()}`, []);
+    assert.equal(exchange.isSettled(), false);
+    while (!exchange.isSettled()) {
+        await sleep(50);
+    }
+});
--- a/packages/gypsumstage-instance/src/peers/PeerExchange.ts
+++ b/packages/gypsumstage-instance/src/peers/PeerExchange.ts
@@ -14,6 +14,8 @@
     readonly notify: (notices: readonly Notice[], targets: readonly PeerState[]) => void;
     /** Registers a function that is called with the notices of each message. */
     readonly registerNoticeListener: (listener: (notices: readonly Notice[]) => void) => () => void;
+    /** False in the first moments of the process, in which it does not know all other instances yet. */
+    readonly isSettled: () => boolean;
     /** Instances that share a fleet-wide limit: the live ones, those silent but not yet removed, and this one. */
     readonly fleetSize: () => number;
     /** Requests in flight at an endpoint from the other instances, as last reported. */
--- a/packages/gypsumstage-instance/src/peers/startPeerExchange.ts
+++ b/packages/gypsumstage-instance/src/peers/startPeerExchange.ts
@@ -26,6 +26,9 @@
 /** Report intervals after which a peer's reported requests in flight are no longer counted. */
 const MAX_IN_FLIGHT_AGE_INTERVALS = 3;
 
+/** Time from the start until this instance has found the others through the seeds, in a fleet that starts as a whole. */
+const SETTLE_MS = 1_000;
+
 const getRoundMs = (peers: number): number =>
     Math.max(MIN_REPORT_INTERVAL_MS, REPORT_INTERVAL_PER_PEER_MS * (peers + 1));
 
@@ -53,6 +56,8 @@
     const unconfirmedAddresses = new Set<string>(seeds);
     const loggedNames = new Set<string>();
     const noticeListeners = new Set<Parameters<PeerExchange["registerNoticeListener"]>[0]>();
+    const startedAtMs = monotonicNow();
+    const isSettled = (): boolean => monotonicNow() - startedAtMs >= SETTLE_MS;
     const reportIntervalMs = (): number => getRoundMs(peers.size);
     const live = (): ReturnType<PeerExchange["live"]> =>
         listLivePeers(
@@ -143,6 +148,7 @@
                 noticeListeners.delete(listener);
             };
         },
+        isSettled,
         fleetSize: () => peers.size + 1,
         inFlight: endpointId => inFlightTotals.get(endpointId) ?? 0,
         stop: () => {
--- a/packages/gypsumstage-instance/src/permits/startPermits.ts
+++ b/packages/gypsumstage-instance/src/permits/startPermits.ts
@@ -42,7 +42,7 @@
  */
 export const startPermits = (
     self: () => PermitInstance,
-    peers: Pick<PeerExchange, "live" | "all">,
+    peers: Pick<PeerExchange, "live" | "all" | "isSettled">,
     view: () => FleetView,
     rateLimits: EndpointRateLimits,
     metrics: Pick<InstanceMetrics, "countPermit">,
@@ -57,7 +57,7 @@
         return ready.find(instance => instance.name === name);
     });
     const isIssuer = (endpoint: UpstreamEndpoint): boolean =>
-        (findIssuer(endpoint)?.name ?? self().name) === self().name;
+        peers.isSettled() && (findIssuer(endpoint)?.name ?? self().name) === self().name;
     const issuedShare = (endpoint: UpstreamEndpoint): number => {
         const live = new Set(listReady(peers.live()).map(instance => instance.name));
         return computeIssuedShare(endpoint, listReady(peers.all()), instance => live.has(instance.name));
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -135,6 +135,7 @@
         coldRateLimiter: createColdRateLimiter(
             cfg.name,
             () => [cfg, ...peers.live().map(peer => peer.report)],
+            peers.isSettled,
             getColdRate,
         ),
         rateLimits,
--- a/packages/gypsumstage-instance/src/upstream/createColdRateLimiter.ts
+++ b/packages/gypsumstage-instance/src/upstream/createColdRateLimiter.ts
@@ -22,12 +22,14 @@
  *
  * @param ownName - name of this instance
  * @param live - returns the live instances, this one included
+ * @param isSettled - returns false while this instance does not know the others yet, and so is no owner
  * @param getRate - returns the requests per second that a cold endpoint of a service tolerates
  * @returns the limiter
  */
 export const createColdRateLimiter = (
     ownName: string,
     live: () => readonly Pick<PeerReport, "name" | "region">[],
+    isSettled: () => boolean,
     getRate: (service: string) => number,
 ): ColdRateLimiter => {
     const nextAtMs = new Map<string, number>();
@@ -36,7 +38,8 @@
         endpoint => listColdOwners(endpoint, live(), OWNERS).includes(ownName),
     );
     return {
-        isAvailable: endpoint => (nextAtMs.get(endpoint.id) ?? 0) <= monotonicNow() && isOwner(endpoint),
+        isAvailable: endpoint =>
+            isSettled() && (nextAtMs.get(endpoint.id) ?? 0) <= monotonicNow() && isOwner(endpoint),
         take: (endpoint: UpstreamEndpoint) => {
             const ratePerSecond = getRate(endpoint.service) / SHARES;
             nextAtMs.set(
