Send the first end of a request to two collectors, not to all instances

Each request in flight at an endpoint's end became a notice for the whole fleet: with six requests in flight on each of 24 endpoints that crash at once, 84 instances would each send about 18 messages for each of 144 requests, nearly all of which never see a second end.

Change: a notice that matters only together with what others noticed is preliminary and goes to two instances by rendezvous hashing of its key, three rounds. When a collector, or the instance itself, knows of a second end, all are told. A success that clears two ends or more is for all too.

Measured in the model of 84 instances: a preliminary notice is known at three instances at most and costs its sender 6 messages; once two instances noticed the same, all know it within 1.5 s.

Tests: startNoticeExchange "a preliminary notice reaches two collectors only", createSuspectRequests "a single end is preliminary".

--- a/packages/gypsumstage-instance/src/__tests__/unit/createSuspectRequests.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createSuspectRequests.test.ts
@@ -114,3 +114,14 @@
     assert.equal(suspects.topic.merge({ digest: "x", headHash: 1, ended: [["e", "now"]] }), undefined);
     assert.equal(suspects.size(), 0);
 });
+
+test("a single end is preliminary; a second one is for all instances, and so is the success that clears both", () => {
+    const suspects = create();
+    breakAt(suspects, FATAL, ["e-1", "e-2"]);
+    end(suspects, ["e-1"]);
+    assert.equal(suspects.topic.isPreliminary(FATAL.digest), true);
+    end(suspects, ["e-2"]);
+    assert.equal(suspects.topic.isPreliminary(FATAL.digest), false);
+    suspects.recordSuccess(FATAL);
+    assert.equal(suspects.topic.isPreliminary(FATAL.digest), false);
+});
--- a/packages/gypsumstage-instance/src/__tests__/unit/startNoticeExchange.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/startNoticeExchange.test.ts
@@ -17,11 +17,14 @@
 
 interface Content {
     readonly key: string;
+    /** Names of the instances that noticed it themselves. */
+    readonly noticedBy: readonly string[];
 }
 
 interface TestMember {
     readonly name: string;
-    readonly known: Set<string>;
+    /** Names of the instances that noticed something, by its key. */
+    readonly known: ReadonlyMap<string, ReadonlySet<string>>;
     readonly messages: () => number;
     /** Lets this member notice something of its own. */
     readonly notice: (key: string) => void;
@@ -49,18 +52,20 @@
         from !== to && receivers.has(to) && !cutOff.has(from) && !cutOff.has(to);
     const add = (name: string): TestMember => {
         all.set(name, toPeer(name));
-        const known = new Set<string>();
+        const known = new Map<string, ReadonlySet<string>>();
         const listeners = new Set<(key: string) => void>();
         let messages = 0;
         const topic: NoticeTopic = {
             name: "test",
-            keys: () => [...known],
-            read: key => ({ key }),
+            keys: () => [...known.keys()],
+            read: key => ({ key, noticedBy: [...known.get(key) ?? []] }),
+            isPreliminary: key => key.startsWith("preliminary") && (known.get(key)?.size ?? 0) < 2,
             merge: content => {
-                const { key } = content as Content;
-                const isNew = !known.has(key);
-                known.add(key);
-                return isNew ? key : undefined;
+                const { key, noticedBy } = content as Content;
+                const before = known.get(key) ?? new Set();
+                const merged = new Set([...before, ...noticedBy]);
+                known.set(key, merged);
+                return merged.size > before.size ? key : undefined;
             },
             registerListener: listener => {
                 listeners.add(listener);
@@ -70,16 +75,15 @@
         const others = (): readonly PeerState[] =>
             [...all.values()].filter(peer => peer.report.name !== name);
         const exchange = startNoticeExchange(
+            name,
             [topic],
             {
                 all: others,
                 live: () => others().filter(peer => canReach(name, peer.report.name)),
-                notify: (notices, targets) => {
-                    messages += targets.length;
-                    for (const { report } of targets) {
-                        if (canReach(name, report.name) && Math.random() >= LOSS) {
-                            receivers.get(report.name)?.(notices);
-                        }
+                notify: (notices, { report }) => {
+                    messages += 1;
+                    if (canReach(name, report.name) && Math.random() >= LOSS) {
+                        receivers.get(report.name)?.(notices);
                     }
                 },
                 registerNoticeListener: listener => {
@@ -103,7 +107,7 @@
             known,
             messages: () => messages,
             notice: key => {
-                known.add(key);
+                known.set(key, new Set([...known.get(key) ?? [], name]));
                 listeners.forEach(listener => listener(key));
             },
             stop: exchange.stop,
@@ -179,3 +183,17 @@
     assert.ok(network.members.every(member => member.known.has("of-the-cut-instance")));
     network.members.forEach(member => member.stop());
 });
+
+test("a preliminary notice reaches two collectors only; once two instances have noticed the same, all know it", async t => {
+    t.mock.timers.enable({ apis: ["setTimeout"] });
+    const { members } = createNetwork(createNames(84));
+    await advance(t, 300);
+    members[0]?.notice("preliminary");
+    await advance(t, 1_000);
+    assert.ok(members.filter(member => member.known.has("preliminary")).length <= 3);
+    assert.ok(members.every(member => member.messages() <= 6));
+    members[1]?.notice("preliminary");
+    await advance(t, 1_500);
+    assert.ok(members.every(member => member.known.get("preliminary")?.size === 2));
+    members.forEach(member => member.stop());
+});
--- a/packages/gypsumstage-instance/src/notices/startNoticeExchange.ts
+++ b/packages/gypsumstage-instance/src/notices/startNoticeExchange.ts
@@ -2,6 +2,8 @@
 import type { RpcClient } from "@gypsumstage/shared/RpcClient";
 import { startPeriodicTask } from "@gypsumstage/shared/startPeriodicTask";
 import { chooseAtRandom } from "@gypsumstage/steering/traffic/chooseAtRandom";
+import { chooseCollectors } from "@gypsumstage/steering/traffic/chooseCollectors";
+import type { PeerState } from "@gypsumstage/steering/traffic/PeerState";
 import { takePendingNotices } from "@gypsumstage/steering/traffic/takePendingNotices";
 import type { PeerExchange } from "../peers/PeerExchange.js";
 import type { Notice } from "./Notice.js";
@@ -11,6 +13,8 @@
 /** Instances that get a notice in a round, and rounds in which an instance sends it after it has learnt it. */
 const FANOUT = 3;
 const ROUNDS = 6;
+/** Rounds in which a preliminary notice is sent to its collectors, as messages may be lost. */
+const PRELIMINARY_ROUNDS = 3;
 const ROUND_INTERVAL_MS = 100;
 /** Pause before the first round, in which further changes may join it. */
 const FIRST_ROUND_DELAY_MS = 10;
@@ -29,11 +33,20 @@
         (...[, index]) => items.slice(index * size, (index + 1) * size),
     );
 
+interface PendingNotice {
+    readonly notice: Notice;
+    readonly key: string;
+    readonly isPreliminary: boolean;
+}
+
+const isDefined = (pending: PendingNotice | undefined): pending is PendingNotice => pending !== undefined;
+
 /**
  * Starts the exchange of notices. Each instance that learns a new one sends it to a few others at random for a few rounds,
  * so the messages of an instance don't depend on the size of the fleet, and the time until all know it grows with its
- * logarithm only. An instance that has started, or was cut off, fetches all notices from another one, and spreads its own again.
+ * logarithm only. Preliminary notices, which are many when endpoints end, go to two instances only. An instance that has started, or was cut off, fetches all notices from another one, and spreads its own again.
  *
+ * @param ownName - name of this instance
  * @param topics - the kinds of notices
  * @param peers - sends and receives notices, and knows the other instances
  * @param rpc - client for RPC calls to other instances
@@ -41,6 +54,7 @@
  * @returns the exchange
  */
 export const startNoticeExchange = (
+    ownName: string,
     topics: readonly NoticeTopic[],
     peers: Pick<PeerExchange, "live" | "all" | "notify" | "registerNoticeListener">,
     rpc: Pick<RpcClient, "call">,
@@ -49,20 +63,33 @@
     let pending: ReadonlyMap<string, number> = new Map();
     let timer: NodeJS.Timeout | undefined;
     let isCutOff = true;
-    const readNotice = (pendingKey: string): readonly Notice[] => {
+    const findPending = (pendingKey: string): PendingNotice | undefined => {
         const separator = pendingKey.indexOf("/");
-        const name = pendingKey.slice(0, separator);
+        const topic = topics.find(each => each.name === pendingKey.slice(0, separator));
         const key = pendingKey.slice(separator + 1);
-        const content = topics.find(topic => topic.name === name)?.read(key);
-        return content === undefined ? [] : [{ topic: name, content }];
+        const content = topic?.read(key);
+        return topic === undefined || content === undefined
+            ? undefined
+            : { notice: { topic: topic.name, content }, key, isPreliminary: topic.isPreliminary(key) };
+    };
+    const listCollectors = (key: string, live: readonly PeerState[]): readonly PeerState[] => {
+        const collectors = chooseCollectors(key, [ownName, ...live.map(peer => peer.report.name)]);
+        return live.filter(peer => collectors.includes(peer.report.name));
     };
     const sendRound = (): void => {
         timer = undefined;
         const round = takePendingNotices(pending, MAX_NOTICES_PER_ROUND);
         pending = round.pending;
-        const targets = chooseAtRandom(peers.live(), FANOUT, Math.random);
-        for (const notices of splitIntoChunks(round.keys.flatMap(readNotice), MAX_NOTICES_PER_DATAGRAM)) {
-            peers.notify(notices, targets);
+        const live = peers.live();
+        const targets = chooseAtRandom(live, FANOUT, Math.random);
+        const noticesByTarget = new Map<PeerState, readonly Notice[]>();
+        for (const { notice, key, isPreliminary } of round.keys.map(findPending).filter(isDefined)) {
+            for (const target of isPreliminary ? listCollectors(key, live) : targets) {
+                noticesByTarget.set(target, [...noticesByTarget.get(target) ?? [], notice]);
+            }
+        }
+        for (const [target, notices] of noticesByTarget) {
+            splitIntoChunks(notices, MAX_NOTICES_PER_DATAGRAM).forEach(chunk => peers.notify(chunk, target));
         }
         scheduleRound(ROUND_INTERVAL_MS);
     };
@@ -72,7 +99,9 @@
         }
     };
     const spread = (topic: NoticeTopic, keys: readonly string[]): void => {
-        pending = new Map([...pending, ...keys.map(key => [`${topic.name}/${key}`, ROUNDS] as const)]);
+        const getRounds = (key: string): number => topic.isPreliminary(key) ? PRELIMINARY_ROUNDS : ROUNDS;
+        const added = keys.map(key => [`${topic.name}/${key}`, getRounds(key)] as const);
+        pending = new Map([...pending, ...added]);
         scheduleRound(FIRST_ROUND_DELAY_MS);
     };
     const receive = (notices: readonly Notice[]): void => {
@@ -120,7 +149,10 @@
     );
     return {
         readAll: () =>
-            topics.flatMap(topic => topic.keys().flatMap(key => readNotice(`${topic.name}/${key}`))),
+            topics
+                .flatMap(topic => topic.keys().map(key => findPending(`${topic.name}/${key}`)))
+                .filter(isDefined)
+                .map(({ notice }) => notice),
         stop: () => {
             clearTimeout(timer);
             stopSync();
--- a/packages/gypsumstage-instance/src/peers/PeerExchange.ts
+++ b/packages/gypsumstage-instance/src/peers/PeerExchange.ts
@@ -10,8 +10,8 @@
     readonly all: () => readonly PeerState[];
     /** Sends an announcement to the given instances. */
     readonly announce: (announcement: TopicAnnouncement, targets: readonly PeerState[]) => void;
-    /** Sends notices to the given instances, in one message. */
-    readonly notify: (notices: readonly Notice[], targets: readonly PeerState[]) => void;
+    /** Sends notices to an instance, in one message. */
+    readonly notify: (notices: readonly Notice[], target: PeerState) => void;
     /** Registers a function that is called with the notices of each message. */
     readonly registerNoticeListener: (listener: (notices: readonly Notice[]) => void) => () => void;
     /** False in the first moments of the process, in which it does not know all other instances yet. */
--- a/packages/gypsumstage-instance/src/peers/startPeerExchange.ts
+++ b/packages/gypsumstage-instance/src/peers/startPeerExchange.ts
@@ -140,8 +140,8 @@
         all: () => [...peers.values()],
         announce: (announcement, targets) =>
             socket.send(TOPICS_METHOD, announcement, targets.map(peer => peer.report.internalAddress)),
-        notify: (notices, targets) =>
-            socket.send(NOTICES_METHOD, { notices }, targets.map(peer => peer.report.internalAddress)),
+        notify: (notices, target) =>
+            socket.send(NOTICES_METHOD, { notices }, [target.report.internalAddress]),
         registerNoticeListener: listener => {
             noticeListeners.add(listener);
             return () => {
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -114,7 +114,7 @@
         digest => isProber(digest, cfg.name, readyInstances().map(instance => instance.name)),
         log,
     );
-    const notices = startNoticeExchange([rateLimits.topic, suspects.topic], peers, rpc, log);
+    const notices = startNoticeExchange(cfg.name, [rateLimits.topic, suspects.topic], peers, rpc, log);
     const permits = startPermits(
         () => ({ ...cfg, internalAddress: cfg.listen.internal, isReady: isReady() }),
         peers,
--- a/packages/gypsumstage-instance/src/suspects/createSuspectRequests.ts
+++ b/packages/gypsumstage-instance/src/suspects/createSuspectRequests.ts
@@ -21,6 +21,8 @@
 
 /** Time between two probes of a request, and wait of its repeats at the instances that don't probe it. */
 const PROBE_INTERVAL_MS = 30_000;
+/** Ends from which on all instances are told; most requests that were in flight at an endpoint's end never have a second. */
+const ENDS_UNTIL_SPREAD = 2;
 const EXPIRY_INTERVAL_MS = 1_000;
 const RUN_HASH_RADIX = 36;
 const ALLOWED: SuspectVerdict = { kind: "allowed" };
@@ -132,6 +134,10 @@
                 const suspect = suspects.get().get(digest);
                 return suspect === undefined ? undefined : encodeSuspect(suspect, monotonicNow());
             },
+            isPreliminary: digest => {
+                const suspect = suspects.get().get(digest);
+                return suspect !== undefined && suspect.endedAtMs.size < ENDS_UNTIL_SPREAD;
+            },
             merge: content => {
                 const suspect = decodeSuspect(content, monotonicNow());
                 if (suspect === undefined) {
--- a/packages/gypsumstage-instance/src/upstream/createEndpointRateLimits.ts
+++ b/packages/gypsumstage-instance/src/upstream/createEndpointRateLimits.ts
@@ -104,6 +104,7 @@
             name: "rate-limits",
             keys: () => [...limits.keys()],
             read,
+            isPreliminary: () => false,
             merge,
             registerListener: listeners.register,
         },
