Split what instances decide together from the start of an instance

Rate limits, permits, suspect requests and notices are put together in startCoordination. No change of behaviour; the tests are the same.

--- /dev/null
+++ b/packages/gypsumstage-instance/src/Coordination.ts
@@ -0,0 +1,15 @@
+import type { NoticeExchange } from "./notices/NoticeExchange.js";
+import type { PermitIssuer } from "./permits/PermitIssuer.js";
+import type { RequestPermits } from "./permits/RequestPermits.js";
+import type { SuspectRequests } from "./suspects/SuspectRequests.js";
+import type { EndpointRateLimits } from "./upstream/EndpointRateLimits.js";
+
+/** What instances decide together about requests. */
+export interface Coordination {
+    readonly rateLimits: EndpointRateLimits;
+    readonly suspects: SuspectRequests;
+    readonly permits: RequestPermits;
+    readonly permitIssuer: PermitIssuer;
+    readonly readNotices: NoticeExchange["readAll"];
+    readonly stop: () => Promise<void>;
+}
--- /dev/null
+++ b/packages/gypsumstage-instance/src/startCoordination.ts
@@ -0,0 +1,56 @@
+import type { Log } from "@gypsumstage/shared/Log";
+import type { RpcClient } from "@gypsumstage/shared/RpcClient";
+import type { FleetView } from "@gypsumstage/steering/traffic/FleetView";
+import { isProber } from "@gypsumstage/steering/traffic/isProber";
+import type { PeerReport } from "@gypsumstage/steering/traffic/PeerReport";
+import type { Coordination } from "./Coordination.js";
+import type { InstanceMetrics } from "./InstanceMetrics.js";
+import { startNoticeExchange } from "./notices/startNoticeExchange.js";
+import type { PeerExchange } from "./peers/PeerExchange.js";
+import { startPermits } from "./permits/startPermits.js";
+import { createSuspectRequests } from "./suspects/createSuspectRequests.js";
+import { createEndpointRateLimits } from "./upstream/createEndpointRateLimits.js";
+
+type SelfReport = Pick<PeerReport, "name" | "dataCentre" | "region" | "internalAddress" | "isReady">;
+
+/**
+ * Starts what instances decide together about requests: the rate limits of endpoints with their permits, and the requests
+ * that end endpoints. Both are spread as notices.
+ *
+ * @param self - returns this instance as the others see it
+ * @param peers - the reports of the other instances
+ * @param view - returns the current fleet view
+ * @param rpc - client for RPC calls to other instances
+ * @param metrics - counts granted and denied permits
+ * @param log - receives the events of all parts
+ * @returns the parts, and the function that stops them
+ */
+export const startCoordination = (
+    self: () => SelfReport,
+    peers: PeerExchange,
+    view: () => FleetView,
+    rpc: RpcClient,
+    metrics: Pick<InstanceMetrics, "countPermit">,
+    log: Log,
+): Coordination => {
+    const ownName = self().name;
+    const listReadyNames = (): readonly string[] =>
+        [self(), ...peers.live().map(peer => peer.report)]
+            .filter(report => report.isReady)
+            .map(report => report.name);
+    const rateLimits = createEndpointRateLimits(id => view().endpoints.get(id), log);
+    const suspects = createSuspectRequests(digest => isProber(digest, ownName, listReadyNames()), log);
+    const notices = startNoticeExchange(ownName, [rateLimits.topic, suspects.topic], peers, rpc, log);
+    const { permits, issuer, stop: stopPermits } = startPermits(self, peers, view, rateLimits, metrics, log);
+    return {
+        rateLimits,
+        suspects,
+        permits,
+        permitIssuer: issuer,
+        readNotices: notices.readAll,
+        stop: () => {
+            notices.stop();
+            return stopPermits();
+        },
+    };
+};
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -4,7 +4,6 @@
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import { findStoreAge } from "@gypsumstage/steering/traffic/findStoreAge";
 import type { FleetView } from "@gypsumstage/steering/traffic/FleetView";
-import { isProber } from "@gypsumstage/steering/traffic/isProber";
 import type { PeerReport } from "@gypsumstage/steering/traffic/PeerReport";
 import type { PeerView } from "@gypsumstage/steering/traffic/PeerView";
 import { createInstanceMetrics } from "./createInstanceMetrics.js";
@@ -13,9 +12,7 @@
 import type { Instance } from "./Instance.js";
 import type { InstanceConfig } from "./InstanceConfig.js";
 import type { InstancePhase } from "./InstancePhase.js";
-import { startNoticeExchange } from "./notices/startNoticeExchange.js";
 import { startPeerExchange } from "./peers/startPeerExchange.js";
-import { startPermits } from "./permits/startPermits.js";
 import type { PlatformAdapter } from "./PlatformAdapter.js";
 import { createLocalPrimaryShares } from "./request/createLocalPrimaryShares.js";
 import { createRegionShiftLimiter } from "./request/createRegionShiftLimiter.js";
@@ -24,13 +21,12 @@
 import { createServiceChooser } from "./request/createServiceChooser.js";
 import type { RequestContext } from "./request/RequestContext.js";
 import { shutDownGracefully } from "./shutDownGracefully.js";
+import { startCoordination } from "./startCoordination.js";
 import { startFleetState } from "./startFleetState.js";
 import { startListeners } from "./startListeners.js";
 import { countStoreCalls } from "./store/countStoreCalls.js";
 import { followTopics } from "./store/followTopics.js";
-import { createSuspectRequests } from "./suspects/createSuspectRequests.js";
 import { createColdRateLimiter } from "./upstream/createColdRateLimiter.js";
-import { createEndpointRateLimits } from "./upstream/createEndpointRateLimits.js";
 import { createEndpointTracker } from "./upstream/createEndpointTracker.js";
 import { createUpstreamPool } from "./upstream/createUpstreamPool.js";
 import { registerHealthChecks } from "./upstream/registerHealthChecks.js";
@@ -65,13 +61,12 @@
             tracker.recordHealthEvent(id, { kind: "cold", untilMs: nowMs + coldMs });
         }
         tracker.keepOnly(view.endpoints);
-        rateLimits.keepOnly(view.endpoints);
+        coordination.rateLimits.keepOnly(view.endpoints);
         if (view.policy !== undefined) {
             requestServer.applyLimits(view.policy.limits);
         }
     };
     const fleet = startFleetState(onViewChange, log);
-    const rateLimits = createEndpointRateLimits(id => fleet.view().endpoints.get(id), log);
     const isReady = (): boolean => {
         const view = fleet.view();
         return phase === "serving" && view.policy !== undefined && view.isComplete;
@@ -103,23 +98,18 @@
         inFlight,
         storeAgeMs: findStoreAge(storeAgeMs(), peers.live(), monotonicNow()),
         retriesLeft: retryBudget.remaining(),
-        suspectRequests: suspects.size(),
+        suspectRequests: coordination.suspects.size(),
     }));
     const peers = await startPeerExchange(cfg.listen.internal, cfg.seeds, createReport, metrics, log);
     const readyInstances = (): readonly PeerView[] => [
         ...(isReady() ? [{ ...cfg, address: cfg.listen.requests }] : []),
         ...peers.live().map(peer => peer.report).filter(report => report.isReady),
     ];
-    const suspects = createSuspectRequests(
-        digest => isProber(digest, cfg.name, readyInstances().map(instance => instance.name)),
-        log,
-    );
-    const notices = startNoticeExchange(cfg.name, [rateLimits.topic, suspects.topic], peers, rpc, log);
-    const permits = startPermits(
+    const coordination = startCoordination(
         () => ({ ...cfg, internalAddress: cfg.listen.internal, isReady: isReady() }),
         peers,
         fleet.view,
-        rateLimits,
+        rpc,
         metrics,
         log,
     );
@@ -138,9 +128,9 @@
             peers.isSettled,
             getColdRate,
         ),
-        rateLimits,
-        permits: permits.permits,
-        suspects,
+        rateLimits: coordination.rateLimits,
+        permits: coordination.permits,
+        suspects: coordination.suspects,
         retryBudget,
         localPrimaryShare: createLocalPrimaryShares(cfg.region, fleet.view, () => [
             { region: cfg.region, demand: retryBudget.demand() },
@@ -168,13 +158,13 @@
         registry: metrics.registry,
         isReady,
         readyInstances,
-        permitIssuer: permits.issuer,
-        readNotices: notices.readAll,
+        permitIssuer: coordination.permitIssuer,
+        readNotices: coordination.readNotices,
     });
     const stopHealthChecks = registerHealthChecks(
         fleet.view,
         tracker,
-        suspects,
+        coordination.suspects,
         pool,
         platform.headerCodec,
         log,
@@ -203,13 +193,12 @@
         log("info", "left", { requestsCut });
         stopHealthChecks();
         followedTopics.stop();
-        notices.stop();
         peers.stop();
         fleet.stop();
         await Promise.all([
             platform.store.close(),
             rpc.close(),
-            permits.stop(),
+            coordination.stop(),
             pool.close(),
             closeListeners(),
         ]);
