Keep the cost of a full table of suspect requests small

Now runs are counted once and the eviction is one pass.

No change of decisions; findCulprits and updateSuspects tests as before.

--- a/packages/gypsumstage-instance/src/suspects/createSuspectRequests.ts
+++ b/packages/gypsumstage-instance/src/suspects/createSuspectRequests.ts
@@ -59,7 +59,9 @@
         }
     });
     const find = (fingerprint: RequestFingerprint): SuspectRequest | undefined =>
-        headHashes.has(fingerprint.headHash) ? suspects.get().get(fingerprint.digest) : undefined;
+        headHashes.size > 0 && headHashes.has(fingerprint.headHash)
+            ? suspects.get().get(fingerprint.digest)
+            : undefined;
     const dispatchAndSpread = (digest: string, event: SuspectEvent): void => {
         const before = suspects.get().get(digest);
         suspects.dispatch(event);
--- a/packages/gypsumstage-steering/src/traffic/findCulprits.ts
+++ b/packages/gypsumstage-steering/src/traffic/findCulprits.ts
@@ -10,8 +10,13 @@
     readonly runs: readonly string[];
 }
 
-const overlaps = (left: Candidate, right: Candidate): boolean =>
-    left.runs.some(run => right.runs.includes(run));
+const countCandidatesByRun = (candidates: readonly Candidate[]): ReadonlyMap<string, number> => {
+    const counts = new Map<string, number>();
+    for (const run of candidates.flatMap(({ runs }) => runs)) {
+        counts.set(run, (counts.get(run) ?? 0) + 1);
+    }
+    return counts;
+};
 
 /**
  * Finds the requests that end endpoints. When an endpoint ends, all requests in flight there are suspect, and an innocent
@@ -32,9 +37,9 @@
         candidates = candidates.filter(({ runs }) => runs.length >= ENDS_UNTIL_OPEN);
         const maxEnds = Math.max(0, ...candidates.map(({ runs }) => runs.length));
         const top = candidates.filter(({ runs }) => runs.length === maxEnds);
-        const isClear = (candidate: Candidate): boolean =>
-            maxEnds >= MAX_AMBIGUOUS_ENDS
-            || !top.some(other => other !== candidate && overlaps(candidate, other));
+        const topByRun = countCandidatesByRun(top);
+        const isClear = ({ runs }: Candidate): boolean =>
+            maxEnds >= MAX_AMBIGUOUS_ENDS || runs.every(run => topByRun.get(run) === 1);
         const found = top.filter(isClear);
         if (top.length === 0) {
             return culprits;
@@ -42,7 +47,7 @@
         found.forEach(({ digest }) => culprits.add(digest));
         const explained = new Set(found.flatMap(({ runs }) => runs));
         candidates = candidates
-            .filter(candidate => !top.includes(candidate))
+            .filter(({ runs }) => runs.length < maxEnds)
             .map(candidate => ({ ...candidate, runs: candidate.runs.filter(run => !explained.has(run)) }));
     }
 };
--- a/packages/gypsumstage-steering/src/traffic/updateSuspects.ts
+++ b/packages/gypsumstage-steering/src/traffic/updateSuspects.ts
@@ -23,10 +23,19 @@
     && listEndedRuns(left).length === listEndedRuns(right).length;
 
 const evictOne = (table: SuspectTable): SuspectTable => {
-    const [victim] = [...table.values()].sort((left, right) =>
-        listEndedRuns(left).length - listEndedRuns(right).length || findOpenUntil(left) - findOpenUntil(right)
+    const entries = [...table.values()].map(suspect => ({
+        digest: suspect.digest,
+        ends: listEndedRuns(suspect).length,
+        openUntilMs: findOpenUntil(suspect),
+    }));
+    const victim = entries.reduce((left, right) =>
+        right.ends < left.ends || (right.ends === left.ends && right.openUntilMs < left.openUntilMs)
+            ? right
+            : left
     );
-    return new Map([...table].filter(([digest]) => digest !== victim?.digest));
+    const next = new Map(table);
+    next.delete(victim.digest);
+    return next;
 };
 
 const merge = (table: SuspectTable, suspect: SuspectRequest): SuspectTable => {
