--- a/packages/gypsumstage-instance/src/__tests__/unit/createColdRateLimiter.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createColdRateLimiter.test.ts
@@ -1,8 +1,8 @@
 import { sleep } from "@gypsumstage/shared/sleep";
+import { createEndpoint } from "@gypsumstage/steering/__tests__/unit/traffic/createEndpoint";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createColdRateLimiter } from "../../upstream/createColdRateLimiter.js";
-import { createTestEndpoint } from "./createTestEndpoint.js";
 
 const REQUESTS = 500;
 const ENDPOINTS = 20;
@@ -20,7 +20,7 @@
         () => true,
         () => 3,
     );
-    const endpoints = Array.from({ length: ENDPOINTS }, (...[, index]) => createTestEndpoint(`d-${index}`));
+    const endpoints = Array.from({ length: ENDPOINTS }, (...[, index]) => createEndpoint(`d-${index}`));
     for (let sent = 0; sent < REQUESTS; sent++) {
         endpoints.forEach(limiter.isAvailable);
     }
@@ -30,7 +30,7 @@
 test("an instance that joins becomes an owner of cold endpoints soon", async () => {
     const live = [{ name: "n-2", region: "kutch" }];
     const limiter = createColdRateLimiter("n-1", () => live, () => true, () => 3);
-    const endpoint = createTestEndpoint("d-1");
+    const endpoint = createEndpoint("d-1");
     assert.equal(limiter.isAvailable(endpoint), false);
     live.push({ name: "n-1", region: "kutch" });
     await sleep(OWNERS_EXPIRED_MS);
@@ -48,6 +48,6 @@
                 () => 3,
             ),
     );
-    const endpoint = createTestEndpoint("d-1");
+    const endpoint = createEndpoint("d-1");
     assert.equal(limiters.filter(limiter => limiter.isAvailable(endpoint)).length, 0);
 });
--- a/packages/gypsumstage-instance/src/__tests__/unit/createEndpointRateLimits.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createEndpointRateLimits.test.ts
@@ -1,10 +1,10 @@
+import { createEndpoint } from "@gypsumstage/steering/__tests__/unit/traffic/createEndpoint";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createEndpointRateLimits } from "../../upstream/createEndpointRateLimits.js";
 import type { EndpointRateLimits } from "../../upstream/EndpointRateLimits.js";
-import { createTestEndpoint } from "./createTestEndpoint.js";
 
-const ENDPOINT = createTestEndpoint("d-1");
+const ENDPOINT = createEndpoint("d-1");
 const AGE_MS = 60_000;
 
 const createLimits = (): EndpointRateLimits =>
--- a/packages/gypsumstage-instance/src/__tests__/unit/createSuspectRequests.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createSuspectRequests.test.ts
@@ -1,9 +1,9 @@
+import { createEndpoint } from "@gypsumstage/steering/__tests__/unit/traffic/createEndpoint";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { RequestFingerprint } from "../../request/RequestFingerprint.js";
 import { createSuspectRequests } from "../../suspects/createSuspectRequests.js";
 import type { SuspectRequests } from "../../suspects/SuspectRequests.js";
-import { createTestEndpoint } from "./createTestEndpoint.js";
 
 const FATAL: RequestFingerprint = { headHash: 1, digest: "fatal" };
 const SAME_PATH: RequestFingerprint = { headHash: 1, digest: "same-path" };
@@ -13,10 +13,10 @@
 const create = (isProber = false): SuspectRequests => createSuspectRequests(() => isProber, () => undefined);
 
 const breakAt = (suspects: SuspectRequests, fingerprint: RequestFingerprint, ids: readonly string[]): void =>
-    ids.forEach(id => suspects.recordBroken(createTestEndpoint(id), fingerprint));
+    ids.forEach(id => suspects.recordBroken(createEndpoint(id), fingerprint));
 
 const end = (suspects: SuspectRequests, ids: readonly string[]): void =>
-    ids.forEach(id => suspects.recordEnd(createTestEndpoint(id)));
+    ids.forEach(id => suspects.recordEnd(createEndpoint(id)));
 
 /** A notice of three ends that lie so far back that the request may be probed. */
 const createOldNotice = (): object => ({
@@ -40,7 +40,7 @@
     const suspects = create();
     for (const id of ["e-1", "e-2", "e-3", "e-4"]) {
         breakAt(suspects, FATAL, [id]);
-        suspects.recordAlive(createTestEndpoint(id));
+        suspects.recordAlive(createEndpoint(id));
         end(suspects, [id]);
     }
     assert.equal(suspects.isSuspect(FATAL), false);
@@ -49,7 +49,7 @@
 test("the end of a later run of an endpoint is not attributed to a request of an earlier one", () => {
     const suspects = create();
     breakAt(suspects, FATAL, ["e-1"]);
-    suspects.recordEnd(createTestEndpoint("e-1", { startedAt: 2 }));
+    suspects.recordEnd(createEndpoint("e-1", { startedAt: 2 }));
     assert.equal(suspects.isSuspect(FATAL), false);
 });
 
--- a/packages/gypsumstage-instance/src/__tests__/unit/requestPermits.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/requestPermits.test.ts
@@ -1,4 +1,5 @@
 import { failure } from "@gypsumstage/shared/failure";
+import { createEndpoint } from "@gypsumstage/steering/__tests__/unit/traffic/createEndpoint";
 import type { PermitDecision } from "@gypsumstage/steering/traffic/PermitDecision";
 import assert from "node:assert/strict";
 import { test } from "node:test";
@@ -6,9 +7,8 @@
 import { createPermitQuery } from "../../permits/createPermitQuery.js";
 import { createRequestPermits } from "../../permits/createRequestPermits.js";
 import type { RequestPermits } from "../../permits/RequestPermits.js";
-import { createTestEndpoint } from "./createTestEndpoint.js";
 
-const ENDPOINT = createTestEndpoint("d-1");
+const ENDPOINT = createEndpoint("d-1");
 const GRANTED_TWO: PermitDecision = { kind: "granted", count: 2, validForMs: 60_000 };
 const DENIED: PermitDecision = { kind: "denied", retryAfterMs: 60_000 };
 const NO_METRICS = { countPermit: (): void => undefined };
