Send a request whose endpoint left while it waited for a permit to another one

It was then taken for placed though nothing was sent, and its caller waited until the deadline. Now the next candidate is chosen; an endpoint that has begun to drain counts as gone too.

Test: createAttemptSet "a request whose endpoint leaves while it waits" failed before (nothing was sent). A second test, that a request whose caller leaves meanwhile is not sent, passed before. createTestContext is the context of both.

--- /dev/null
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createAttemptSet.test.ts
@@ -0,0 +1,41 @@
+import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import { createEndpoint } from "@gypsumstage/steering/__tests__/unit/traffic/createEndpoint";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { RequestPermits } from "../../permits/RequestPermits.js";
+import type { AttemptSet } from "../../request/AttemptSet.js";
+import { createAttemptSet } from "../../request/createAttemptSet.js";
+import { createTestContext } from "./createTestContext.js";
+
+const TIMEOUT_MS = 2_000;
+const FIRST = createEndpoint("d-1", { address: "first" });
+const SECOND = createEndpoint("d-2", { address: "second" });
+
+const createSet = ({ ctx, req, route }: ReturnType<typeof createTestContext>): AttemptSet =>
+    createAttemptSet(ctx, req, route, "desk", "17", monotonicNow() + TIMEOUT_MS);
+
+/** Permits that are granted after `onTake` has been called. */
+const grantAfter = (onTake: () => void): RequestPermits => ({
+    isNeeded: () => true,
+    deniedForMs: () => 0,
+    take: async () => {
+        onTake();
+        return Promise.resolve(true);
+    },
+});
+
+test("a request whose endpoint leaves while it waits for the permit is sent to another one", async () => {
+    const context = createTestContext(grantAfter(() => context.setEndpoints([SECOND])));
+    context.setEndpoints([FIRST]);
+    const started = await createSet(context).startNext();
+    assert.deepEqual(context.sentTo, ["second"]);
+    assert.equal(started.kind === "placed" && started.id, SECOND.id);
+});
+
+test("a request whose caller leaves while it waits for the permit is not sent", async () => {
+    const context = createTestContext(grantAfter(() => attempts.abort()));
+    context.setEndpoints([FIRST]);
+    const attempts = createSet(context);
+    assert.equal((await attempts.startNext()).kind, "abandoned");
+    assert.deepEqual(context.sentTo, []);
+});
--- a/packages/gypsumstage-instance/src/request/createAttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/createAttemptSet.ts
@@ -69,10 +69,11 @@
         const placement = placeRequest(allowed, typicalMs, remainingMs);
         return placement.kind === "placed" ? placement : placeRequest(candidates, typicalMs, remainingMs);
     };
-    const start = (placement: Placement, candidates: readonly PlacementCandidate[]): void => {
+    /** Sends the request and returns true, unless the endpoint has left meanwhile. */
+    const start = (placement: Placement, candidates: readonly PlacementCandidate[]): boolean => {
         const endpoint = placement.kind === "placed" ? ctx.view().endpoints.get(placement.id) : undefined;
-        if (endpoint === undefined) {
-            return;
+        if (endpoint === undefined || endpoint.isDraining) {
+            return false;
         }
         addTrace(placement, candidates);
         if (tried.size === 0) {
@@ -85,6 +86,7 @@
             startAttempt(ctx, req, endpoint, key, deadlineAtMs, route.targetLatencyMs),
         );
         sent += 1;
+        return true;
     };
     const explainNoEndpoint = (): AttemptStart => {
         const waitsMs = (ctx.view().endpointsByService.get(service) ?? [])
@@ -114,8 +116,7 @@
             if (isAborted) {
                 return { kind: "abandoned" };
             }
-            if (isPermitted) {
-                start(placement, candidates);
+            if (isPermitted && start(placement, candidates)) {
                 return placement;
             }
         }
