Tell callers of rate-limited requests when the first permit may be there

Test: createAttemptSet "a request without a permit at any endpoint" failed before (900 in place of 300 ms).

--- a/packages/gypsumstage-instance/src/__tests__/unit/createAttemptSet.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createAttemptSet.test.ts
@@ -39,3 +39,14 @@
     assert.equal((await attempts.startNext()).kind, "abandoned");
     assert.deepEqual(context.sentTo, []);
 });
+
+test("a request without a permit at any endpoint is refused until the first one may be there", async () => {
+    const deniedMs = new Map([[FIRST.id, 900], [SECOND.id, 300]]);
+    const context = createTestContext({
+        isNeeded: () => true,
+        deniedForMs: endpoint => deniedMs.get(endpoint.id) ?? 0,
+        take: () => Promise.resolve(false),
+    });
+    context.setEndpoints([FIRST, SECOND]);
+    assert.deepEqual(await createSet(context).startNext(), { kind: "rate-limited", retryAfterMs: 300 });
+});
--- a/packages/gypsumstage-instance/src/request/createAttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/createAttemptSet.ts
@@ -95,7 +95,7 @@
             .filter(deniedForMs => deniedForMs > 0);
         return waitsMs.length === 0
             ? { kind: "no-endpoint" }
-            : { kind: "rate-limited", retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, ...waitsMs) };
+            : { kind: "rate-limited", retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.min(...waitsMs)) };
     };
     const takePermit = async (placement: Placement): Promise<boolean> => {
         const endpoint = placement.kind === "placed" ? ctx.view().endpoints.get(placement.id) : undefined;
