Let only responses to requests that ran withdraw a rate limit

A refusal that states a limit still counts.

Test: createAttemptSet "a limit is withdrawn by a response to a request that ran" failed before.

--- a/packages/gypsumstage-instance/src/__tests__/unit/createAttemptSet.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createAttemptSet.test.ts
@@ -5,6 +5,7 @@
 import type { RequestPermits } from "../../permits/RequestPermits.js";
 import type { AttemptSet } from "../../request/AttemptSet.js";
 import { createAttemptSet } from "../../request/createAttemptSet.js";
+import { startAttempt } from "../../request/startAttempt.js";
 import { createTestContext } from "./createTestContext.js";
 
 const TIMEOUT_MS = 2_000;
@@ -50,3 +51,19 @@
     context.setEndpoints([FIRST, SECOND]);
     assert.deepEqual(await createSet(context).startNext(), { kind: "rate-limited", retryAfterMs: 300 });
 });
+
+test("a limit is withdrawn by a response to a request that ran, not by a refusal that states none", async () => {
+    const context = createTestContext(grantAfter(() => undefined));
+    const { ctx, req } = context;
+    context.setEndpoints([FIRST]);
+    const respond = async (status: number, headers: Readonly<Record<string, string>>): Promise<void> => {
+        context.setOutcome({ kind: "answered", status, headers, body: Buffer.alloc(0) });
+        await startAttempt(ctx, req, FIRST, "17", monotonicNow() + TIMEOUT_MS, TIMEOUT_MS).finished;
+    };
+    await respond(503, { limit: "3" });
+    assert.equal(ctx.rateLimits.ratePerSecond(FIRST), 3);
+    await respond(503, {});
+    assert.equal(ctx.rateLimits.ratePerSecond(FIRST), 3);
+    await respond(200, {});
+    assert.equal(ctx.rateLimits.ratePerSecond(FIRST), undefined);
+});
--- a/packages/gypsumstage-instance/src/request/startAttempt.ts
+++ b/packages/gypsumstage-instance/src/request/startAttempt.ts
@@ -95,8 +95,13 @@
     const recordRateLimit = (outcome: AttemptOutcome, classification: AttemptClassification): void => {
         const isFromEndpoint = classification.kind === "final"
             || (classification.kind === "not-run" && classification.reason !== "other-endpoint");
-        if (outcome.kind === "answered" && isFromEndpoint) {
-            ctx.rateLimits.observe(endpoint, ctx.headerCodec.readRateLimit(outcome.headers));
+        if (outcome.kind !== "answered" || !isFromEndpoint) {
+            return;
+        }
+        const ratePerSecond = ctx.headerCodec.readRateLimit(outcome.headers);
+        // A refusal may be sent before the request reaches the part of the endpoint that states the limit.
+        if (ratePerSecond !== undefined || classification.kind === "final") {
+            ctx.rateLimits.observe(endpoint, ratePerSecond);
         }
     };
     const recordSuspect = (outcome: AttemptOutcome, classification: AttemptClassification): void => {
