Keep no bodies of requests whose connection broke

Now it holds the two hashes.

Test: createBrokenAttempts "a broken attempt keeps the hashes" failed before; a second one for forgetting after a success passed.

--- a/packages/gypsumstage-instance/src/suspects/createBrokenAttempts.ts
+++ b/packages/gypsumstage-instance/src/suspects/createBrokenAttempts.ts
@@ -32,8 +32,10 @@
         keep(attempt => nowMs - attempt.atMs < PENDING_MS);
     };
     return {
-        add: (run, fingerprint) => {
+        add: (run, { headHash, digest }) => {
             dropExpired();
+            // The given fingerprint may compute its parts from the request, and would keep its body in memory.
+            const fingerprint = { headHash, digest };
             byRun.set(run, [...byRun.get(run) ?? [], { fingerprint, atMs: monotonicNow() }]);
         },
         take: run => {
