Let an instance that starts fetch the notices only when it knows the endpoints

Found by reading the spread of rate limits: an instance that has just started fetched all notices as soon as it knew a peer, often before it had the list of endpoints. Limits of endpoints that it does not know are ignored, and it did not fetch again. Now the fetch waits for the list; until then the instance refuses requests anyway.

Test: startNoticeExchange "an instance that starts fetches the notices only when it knows" fails without the condition.

--- a/packages/gypsumstage-instance/src/__tests__/unit/startNoticeExchange.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/startNoticeExchange.test.ts
@@ -41,8 +41,11 @@
 const toPeer = (name: string): PeerState =>
     ({ report: { name, internalAddress: name }, receivedAtMs: 0, heardAtMs: 0 }) as unknown as PeerState;
 
-/** Connects exchanges without sockets; messages arrive at once, or are lost. */
-const createNetwork = (names: readonly string[]): TestNetwork => {
+/** Connects exchanges without sockets; messages arrive at once, or are lost. A member that cannot merge learns nothing. */
+const createNetwork = (
+    names: readonly string[],
+    canMerge: (name: string) => boolean = () => true,
+): TestNetwork => {
     const receivers = new Map<string, (notices: readonly Notice[]) => void>();
     const readers = new Map<string, () => readonly Notice[]>();
     const cutOff = new Set<string>();
@@ -62,6 +65,9 @@
             isPreliminary: key => key.startsWith("preliminary") && (known.get(key)?.size ?? 0) < 2,
             merge: content => {
                 const { key, noticedBy } = content as Content;
+                if (!canMerge(name)) {
+                    return undefined;
+                }
                 const before = known.get(key) ?? new Set();
                 const merged = new Set([...before, ...noticedBy]);
                 known.set(key, merged);
@@ -91,6 +97,7 @@
                     return () => receivers.delete(name);
                 },
             },
+            () => canMerge(name),
             {
                 call: <Value>(address: string): Promise<Result<Value, RpcError>> =>
                     Promise.resolve(
@@ -166,6 +173,20 @@
     network.members.forEach(member => member.stop());
 });
 
+test("an instance that starts fetches the notices only when it knows what they are about", async t => {
+    t.mock.timers.enable({ apis: ["setTimeout"] });
+    let isViewComplete = false;
+    const network = createNetwork(createNames(8), name => name !== "n-new" || isViewComplete);
+    network.members[0]?.notice("limit");
+    await advance(t, 3_000);
+    const joined = network.add("n-new");
+    await advance(t, 500);
+    isViewComplete = true;
+    await advance(t, 200);
+    assert.ok(joined.known.has("limit"));
+    network.members.forEach(member => member.stop());
+});
+
 test("after a cut both sides know what the other one noticed during it", async t => {
     t.mock.timers.enable({ apis: ["setTimeout"] });
     const network = createNetwork(createNames(8));
--- a/packages/gypsumstage-instance/src/startCoordination.ts
+++ b/packages/gypsumstage-instance/src/startCoordination.ts
@@ -40,7 +40,14 @@
             .map(report => report.name);
     const rateLimits = createEndpointRateLimits(id => view().endpoints.get(id), log);
     const suspects = createSuspectRequests(digest => isProber(digest, ownName, listReadyNames()), log);
-    const notices = startNoticeExchange(ownName, [rateLimits.topic, suspects.topic], peers, rpc, log);
+    const notices = startNoticeExchange(
+        ownName,
+        [rateLimits.topic, suspects.topic],
+        peers,
+        () => view().isComplete,
+        rpc,
+        log,
+    );
     const { permits, issuer, stop: stopPermits } = startPermits(self, peers, view, rateLimits, metrics, log);
     return {
         rateLimits,
