--- a/packages/gypsumstage-instance/src/__tests__/unit/startNoticeExchange.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/startNoticeExchange.test.ts
@@ -41,7 +41,7 @@
 const toPeer = (name: string): PeerState =>
     ({ report: { name, internalAddress: name }, receivedAtMs: 0, heardAtMs: 0 }) as unknown as PeerState;
 
-/** Connects exchanges without sockets; messages arrive at once, or are lost. A member that cannot merge learns nothing. */
+/** Connects exchanges without sockets; messages arrive at once or are lost. A member that can't merge learns nothing. */
 const createNetwork = (
     names: readonly string[],
     canMerge: (name: string) => boolean = () => true,
--- a/packages/gypsumstage-steering/src/traffic/issuePermits.ts
+++ b/packages/gypsumstage-steering/src/traffic/issuePermits.ts
@@ -20,8 +20,8 @@
 
 /**
  * Decides on a request for permits. All instances get their permits from one bucket, so the limit holds over their sum and
- * goes to whoever has requests, however few there are. At a high rate several permits are granted at once. The
- * bucket starts empty, because another instance may have issued permits until now. A denied instance waits for as many permits
+ * goes to whoever has requests, however few there are. At a high rate several permits are granted at once. The bucket
+ * starts empty, because another instance may have issued permits until now. A denied instance waits for as many permits
  * as there are instances that want some, so that they don't all come back for the next one.
  *
  * @param state - the state so far; undefined when no permits were issued yet
