--- a/packages/gypsumstage-instance/src/store/listTopic.ts
+++ b/packages/gypsumstage-instance/src/store/listTopic.ts
@@ -5,6 +5,7 @@
 import { success } from "@gypsumstage/shared/success";
 import type { FleetStore } from "./FleetStore.js";
 import type { StoreError } from "./StoreError.js";
+import type { TopicPage } from "./TopicPage.js";
 
 const MAX_PAGES = 1_000;
 
@@ -19,20 +20,20 @@
 export const listTopic = async (
     store: FleetStore,
     topic: Topic,
-): Promise<Result<{ readonly records: readonly TopicRecord[]; readonly revision: number; }, StoreError>> => {
+): Promise<Result<Omit<TopicPage, "hasMore">, StoreError>> => {
     const records: TopicRecord[] = [];
-    let revision: number | undefined;
+    let first: TopicPage | undefined;
     let after: string | undefined;
     for (let page = 0; page < MAX_PAGES; page++) {
         const res = await store.list(topic, after);
         if (!res.ok) {
             return res;
         }
-        revision ??= res.value.revision;
+        first ??= res.value;
         records.push(...res.value.records);
         after = res.value.records.at(-1)?.name;
         if (!res.value.hasMore || after === undefined) {
-            return success({ records, revision });
+            return success({ records, era: first.era, revision: first.revision });
         }
     }
     return failure({ kind: "store-unreachable", reason: `more than ${MAX_PAGES} pages` });
--- a/packages/gypsumstage-instance/src/store/registerTopicFollower.ts
+++ b/packages/gypsumstage-instance/src/store/registerTopicFollower.ts
@@ -75,7 +75,16 @@
             return;
         }
         isListNeeded = false;
-        topicStore.dispatch({ kind: "listed", ...res.value, retainUntilMs: onSuccess() });
+        const { records, era, revision } = res.value;
+        const before = topicStore.get();
+        topicStore.dispatch({ kind: "listed", records, revision, retainUntilMs: onSuccess() });
+        log("info", topicStore.get() === before ? "store-listing-ignored" : "store-listed", {
+            topic,
+            era,
+            revision,
+            records: records.length,
+            revisionBefore: before.revision,
+        });
     };
     const watch = async (revision: number): Promise<void> => {
         const res = await store.watch(topic, revision, waitMs);
@@ -83,7 +92,8 @@
             onFailure(res.error);
             return;
         }
-        topicStore.dispatch({ kind: "changed", ...res.value, retainUntilMs: onSuccess() });
+        const { changes, revision: until } = res.value;
+        topicStore.dispatch({ kind: "changed", changes, revision: until, retainUntilMs: onSuccess() });
     };
     const step = async (): Promise<void> => {
         const { revision } = topicStore.get();
