Order a store's changes by its era, and keep what an older copy contradicts

Cause: revisions were taken as one order of all time. A listing of a lower revision was dropped; the watch from the old revision got 410 and the topic was listed again without a pause (665 times in 4.5 s); and once the new history reached the old revision, its change at exactly that revision was taken for the one known: watches from it skip it, and the digest of name and revision says that two copies are equal.

Change: a copy belongs to an era (the store tells how often it was restored). Positions are ordered by era, then revision: listings, changes, watches, updates between instances, digests, announcements. Only a listing leads to a later era, a response of an earlier one is ignored; pages of two eras are no listing. After a failed call the next watch does not wait, since only a response tells the era, and watches whose history is gone again and again back off. What the copy contradicts stays in force beside it ("carried"): a later version of the configuration, endpoints that left (a later run under the same id replaces that) and, for as long as their writers need to write again, endpoints and evacuations that it lacks. Instances fetch carried records from each other, so one that was cut off or has just started gets what only others knew.

Ruled out: readers being too busy or disagreeing (a later change arrived within 0.2 s while the one at the repeated revision never did).

Tests changed: the updates' form has an era, and the fetch of topicFetch names the era of its copy; nothing is checked less.

--- a/packages/gypsumstage-domain/src/traffic/UpstreamEndpoint.ts
+++ b/packages/gypsumstage-domain/src/traffic/UpstreamEndpoint.ts
@@ -13,6 +13,6 @@
     readonly isDraining: boolean;
     /** Time for which it stays cold, counted from when the registration was written, in milliseconds. */
     readonly coldForMs: number;
-    /** Identifies the start of this run; to be compared for equality only. */
+    /** Identifies the start of this run; a later run under the same id has a higher value. */
     readonly startedAt: number;
 }
--- a/packages/gypsumstage-instance/src/__tests__/unit/registerAnnouncements.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/registerAnnouncements.test.ts
@@ -12,6 +12,7 @@
 const evacuated = (name: string, revision: number): TopicEvent => ({
     kind: "changed",
     changes: [{ kind: "put", record: { name, revision, value: { kind: "evacuation", dataCentre: name } } }],
+    era: 0,
     revision,
     retainUntilMs: undefined,
 });
--- a/packages/gypsumstage-instance/src/__tests__/unit/registerTopicPull.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/registerTopicPull.test.ts
@@ -110,13 +110,15 @@
         topic.dispatch({
             kind: "listed",
             records: [{ name: "a", revision: 3, value: { kind: "evacuation", dataCentre: "a" } }],
+            era: 0,
             revision: 9,
             retainUntilMs: undefined,
+            nowMs: 0,
         });
         while (topic.get().records.size > 0) {
             await sleep(50);
         }
         stop();
-        assert.deepEqual(queries.at(-1), { topic: "policy", since: 9, areNamesNeeded: true });
+        assert.deepEqual(queries.at(-1), { topic: "policy", era: 0, since: 9, areNamesNeeded: true });
     },
 );
--- a/packages/gypsumstage-instance/src/peers/registerAnnouncements.ts
+++ b/packages/gypsumstage-instance/src/peers/registerAnnouncements.ts
@@ -42,7 +42,9 @@
     };
     const unregisterListeners = topicStores.map(topicStore =>
         topicStore.registerListener((state, before) => {
-            if (state.digest !== before.digest && !isChangePending) {
+            const isChanged = state.digest !== before.digest || state.era !== before.era
+                || state.carried !== before.carried;
+            if (isChanged && !isChangePending) {
                 isChangePending = true;
                 schedule(CHANGE_DELAY_MS);
             }
--- a/packages/gypsumstage-instance/src/peers/registerTopicPull.ts
+++ b/packages/gypsumstage-instance/src/peers/registerTopicPull.ts
@@ -4,12 +4,13 @@
 import type { RpcClient } from "@gypsumstage/shared/RpcClient";
 import { startPeriodicTask } from "@gypsumstage/shared/startPeriodicTask";
 import type { Store } from "@gypsumstage/shared/Store";
+import { computeCarriedDigest } from "@gypsumstage/steering/traffic/computeCarriedDigest";
 import { findPeerWithNewerTopic } from "@gypsumstage/steering/traffic/findPeerWithNewerTopic";
 import type { PeerState } from "@gypsumstage/steering/traffic/PeerState";
 import type { TopicEvent } from "@gypsumstage/steering/traffic/TopicEvent";
 import type { TopicState } from "@gypsumstage/steering/traffic/TopicState";
 import type { TopicUpdate } from "@gypsumstage/steering/traffic/TopicUpdate";
-import { toTopicEvent } from "@gypsumstage/steering/traffic/toTopicEvent";
+import { toTopicEvents } from "@gypsumstage/steering/traffic/toTopicEvents";
 import type { InstanceMetrics } from "../InstanceMetrics.js";
 import type { TopicQuery } from "./TopicQuery.js";
 
@@ -19,6 +20,8 @@
 const PULL_CHECK_INTERVAL_MS = 100;
 /** Pause after a fetch, so that changes in quick succession share one. */
 const PULL_INTERVAL_MS = 250;
+/** Digests of carried records that are remembered, so that they are not fetched again; the latest ones. */
+const MAX_CONSIDERED_CARRIED = 1_000;
 
 /**
  * Fetches a topic from another instance whenever that one has a more recent copy, so that an instance which does not
@@ -43,6 +46,7 @@
     log: Log,
 ): () => void => {
     const failedUntilMs = new Map<string, number>();
+    const consideredCarried = new Set<number>();
     const findPeer = (): PeerState | undefined => {
         const nowMs = monotonicNow();
         const peers = live();
@@ -51,8 +55,16 @@
         }
         const sound = peers.filter(peer => !failedUntilMs.has(peer.report.name));
         const own = topicStore.get();
-        return findPeerWithNewerTopic(topic, own, sound, location)
-            ?? findPeerWithNewerTopic(topic, own, peers, location);
+        const known = new Set([...consideredCarried, computeCarriedDigest(own.carried)]);
+        return findPeerWithNewerTopic(topic, own, known, sound, location)
+            ?? findPeerWithNewerTopic(topic, own, known, peers, location);
+    };
+    const rememberCarried = (digest: number): void => {
+        consideredCarried.add(digest);
+        const [oldest] = consideredCarried;
+        if (consideredCarried.size > MAX_CONSIDERED_CARRIED && oldest !== undefined) {
+            consideredCarried.delete(oldest);
+        }
     };
     let pauseMs = PULL_CHECK_INTERVAL_MS;
     const pull = async (): Promise<void> => {
@@ -63,10 +75,11 @@
         }
         const { name, internalAddress } = peer.report;
         const startedAtMs = monotonicNow();
-        const fromRevision = topicStore.get().revision;
+        const { era: fromEra, revision: fromRevision } = topicStore.get();
+        const peerVersion = peer.report.topics[topic];
         // At the same revision the peer has fewer records: a copy that kept a removed record for a grace period told of it.
-        const areNamesNeeded = peer.report.topics[topic]?.revision === fromRevision;
-        const query: TopicQuery = { topic, since: fromRevision, areNamesNeeded };
+        const areNamesNeeded = peerVersion?.revision === fromRevision;
+        const query: TopicQuery = { topic, era: fromEra, since: fromRevision, areNamesNeeded };
         const res = await rpc.call<TopicUpdate>(internalAddress, "topic.read", query);
         const tookMs = Math.round(monotonicNow() - startedAtMs);
         if (!res.ok) {
@@ -75,16 +88,22 @@
             log("warn", "topic-pull-failed", { topic, peer: name, error: res.error, fromRevision, tookMs });
             return;
         }
-        topicStore.dispatch(toTopicEvent(res.value));
-        const { revision, records } = res.value;
+        toTopicEvents(res.value, monotonicNow()).forEach(topicStore.dispatch);
+        const { era = 0, revision, records, carried = [] } = res.value;
+        if (peerVersion?.carried !== undefined && era === topicStore.get().era) {
+            rememberCarried(peerVersion.carried);
+        }
         pauseMs = PULL_INTERVAL_MS;
         metrics.recordTopicPull(topic, "ok", records.length, tookMs);
         log("info", "topic-pulled", {
             topic,
             peer: name,
+            fromEra,
+            era,
             fromRevision,
             revision,
             records: records.length,
+            carried: carried.length,
             tookMs,
         });
     };
--- a/packages/gypsumstage-instance/src/startFleetState.ts
+++ b/packages/gypsumstage-instance/src/startFleetState.ts
@@ -51,7 +51,8 @@
     };
     const unregisterListeners = TOPICS.map(topic =>
         topics[topic].registerListener((state, before) => {
-            const isSame = state.records === before.records && state.revision !== undefined
+            const isSame = state.records === before.records && state.carried === before.carried
+                && state.revision !== undefined
                 && before.revision !== undefined;
             if (!isSame) {
                 updateView();
--- a/packages/gypsumstage-instance/src/startListeners.ts
+++ b/packages/gypsumstage-instance/src/startListeners.ts
@@ -1,5 +1,6 @@
 import { createHttpServer } from "@gypsumstage/shared/createHttpServer";
 import { invariant } from "@gypsumstage/shared/invariant";
+import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import { parseAddress } from "@gypsumstage/shared/parseAddress";
 import { registerMetrics } from "@gypsumstage/shared/registerMetrics";
 import { registerRpc } from "@gypsumstage/shared/registerRpc";
@@ -48,8 +49,9 @@
     const internal = createHttpServer(listen.internal);
     registerRpc(internal.app, {
         "topic.read": (params): TopicUpdate => {
-            const { topic, since, areNamesNeeded = false } = params as TopicQuery;
-            return createTopicUpdate(deps.fleet.topics[topic].get(), since, areNamesNeeded);
+            const { topic, era = 0, since: revision, areNamesNeeded = false } = params as TopicQuery;
+            const since = revision === undefined ? undefined : { era, revision };
+            return createTopicUpdate(deps.fleet.topics[topic].get(), since, areNamesNeeded, monotonicNow());
         },
         "notices.read": () => deps.readNotices(),
         "permit.issue": (params): PermitDecision => deps.permitIssuer.issue(params as PermitQuery),
--- a/packages/gypsumstage-instance/src/store/listTopic.ts
+++ b/packages/gypsumstage-instance/src/store/listTopic.ts
@@ -15,7 +15,8 @@
  *
  * @param store - the store
  * @param topic - the topic
- * @returns all records and the revision to watch from; or an error when a call fails or the topic has too many pages
+ * @returns all records and the revision to watch from; or an error when a call fails, when the topic has too many pages
+ * or when the store was restored from a copy meanwhile
  */
 export const listTopic = async (
     store: FleetStore,
@@ -30,6 +31,9 @@
             return res;
         }
         first ??= res.value;
+        if (res.value.era !== first.era) {
+            return failure({ kind: "history-gone" });
+        }
         records.push(...res.value.records);
         after = res.value.records.at(-1)?.name;
         if (!res.value.hasMore || after === undefined) {
--- a/packages/gypsumstage-instance/src/store/registerTopicFollower.ts
+++ b/packages/gypsumstage-instance/src/store/registerTopicFollower.ts
@@ -19,7 +19,7 @@
 
 /**
  * Keeps a topic up to date from the store while `shouldFollow` returns true: lists it once, then waits for
- * changes. It is listed again when the store no longer keeps the changes in between.
+ * changes. It is listed again when the store no longer keeps the changes in between, or was restored from a copy.
  *
  * @param store - the platform's store
  * @param topic - the topic
@@ -40,6 +40,8 @@
     let confirmedAtMs: number | undefined;
     let recoveredAtMs: number | undefined;
     let failures = 0;
+    /** Watches without success since the last one that succeeded: their revision belonged to a history that is gone. */
+    let watchesGone = 0;
     let isListNeeded = true;
     let pauseMs = 0;
     const onSuccess = (): number | undefined => {
@@ -54,19 +56,28 @@
         const retainUntilMs = recoveredAtMs === undefined ? 0 : recoveredAtMs + RECOVERY_GRACE_MS;
         return nowMs < retainUntilMs ? retainUntilMs : undefined;
     };
+    const backOff = (attempts: number): void => {
+        pauseMs = Math.min(MAX_BACKOFF_MS, INITIAL_BACKOFF_MS * 2 ** Math.min(attempts, 8))
+            * (0.5 + Math.random() / 2);
+    };
+    const relist = (): void => {
+        isListNeeded = true;
+        if (watchesGone > 0) {
+            backOff(watchesGone);
+        }
+        watchesGone += 1;
+    };
     const onFailure = (err: StoreError): void => {
         if (err.kind === "history-gone") {
             log("info", "store-history-gone", { topic, revision: topicStore.get().revision });
-            isListNeeded = true;
-            pauseMs = 0;
+            relist();
             return;
         }
         if (failures === 0) {
             log("warn", "store-lost", { topic, error: err });
         }
         failures += 1;
-        pauseMs = Math.min(MAX_BACKOFF_MS, INITIAL_BACKOFF_MS * 2 ** Math.min(failures, 8))
-            * (0.5 + Math.random() / 2);
+        backOff(failures);
     };
     const list = async (): Promise<void> => {
         const res = await listTopic(store, topic);
@@ -77,26 +88,38 @@
         isListNeeded = false;
         const { records, era, revision } = res.value;
         const before = topicStore.get();
-        topicStore.dispatch({ kind: "listed", records, revision, retainUntilMs: onSuccess() });
-        log("info", topicStore.get() === before ? "store-listing-ignored" : "store-listed", {
+        const retainUntilMs = onSuccess();
+        topicStore.dispatch({ kind: "listed", ...res.value, retainUntilMs, nowMs: monotonicNow() });
+        const current = topicStore.get();
+        log("info", current === before ? "store-listing-ignored" : "store-listed", {
             topic,
             era,
             revision,
             records: records.length,
+            carried: current.carried.size,
+            eraBefore: before.era,
             revisionBefore: before.revision,
         });
     };
-    const watch = async (revision: number): Promise<void> => {
-        const res = await store.watch(topic, revision, waitMs);
+    const watch = async (
+        { era, revision }: { readonly era: number; readonly revision: number; },
+    ): Promise<void> => {
+        // After a failure the store may have been restored; only a response tells, so none is waited for.
+        const res = await store.watch(topic, revision, failures > 0 ? 0 : waitMs);
         if (!res.ok) {
             onFailure(res.error);
             return;
         }
-        const { changes, revision: until } = res.value;
-        topicStore.dispatch({ kind: "changed", changes, revision: until, retainUntilMs: onSuccess() });
+        if (res.value.era !== era) {
+            log("info", "store-era-changed", { topic, era: res.value.era, eraBefore: era });
+            relist();
+            return;
+        }
+        watchesGone = 0;
+        topicStore.dispatch({ kind: "changed", ...res.value, retainUntilMs: onSuccess() });
     };
     const step = async (): Promise<void> => {
-        const { revision } = topicStore.get();
+        const { era, revision } = topicStore.get();
         if (!shouldFollow()) {
             // Another instance reads the store, so failures from before say nothing about when the store came back.
             failures = 0;
@@ -105,7 +128,7 @@
             return;
         }
         pauseMs = 0;
-        await (isListNeeded || revision === undefined ? list() : watch(revision));
+        await (isListNeeded || revision === undefined ? list() : watch({ era, revision }));
     };
     const stop = startPeriodicTask(step, () => pauseMs, err => {
         log("error", "topic-follower-failed", { topic, reason: String(err) });
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/createTopicUpdate.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/createTopicUpdate.test.ts
@@ -7,7 +7,7 @@
 import { EMPTY_TOPIC } from "../../../traffic/EMPTY_TOPIC.js";
 import type { TopicEvent } from "../../../traffic/TopicEvent.js";
 import type { TopicState } from "../../../traffic/TopicState.js";
-import { toTopicEvent } from "../../../traffic/toTopicEvent.js";
+import { toTopicEvents } from "../../../traffic/toTopicEvents.js";
 import { updateTopic } from "../../../traffic/updateTopic.js";
 import { createEndpoint } from "./createEndpoint.js";
 
@@ -47,8 +47,10 @@
     updateTopic(state, {
         kind: "listed",
         records: [...store.records.values()],
+        era: 0,
         revision: store.revision,
         retainUntilMs: undefined,
+        nowMs: 0,
     });
 
 const watch = (state: TopicState, store: StoreHistory): TopicState => {
@@ -56,13 +58,17 @@
     return revision === undefined ? list(state, store) : updateTopic(state, {
         kind: "changed",
         changes: store.changes.filter(each => each.revision > revision).map(each => each.change),
+        era: 0,
         revision: store.revision,
         retainUntilMs: undefined,
     });
 };
 
+const toPosition = ({ era, revision }: TopicState): Parameters<typeof createTopicUpdate>[1] =>
+    revision === undefined ? undefined : { era, revision };
+
 const fetchFrom = (own: TopicState, peer: TopicState, areNamesNeeded = false): TopicState =>
-    updateTopic(own, toTopicEvent(createTopicUpdate(peer, own.revision, areNamesNeeded)));
+    toTopicEvents(createTopicUpdate(peer, toPosition(own), areNamesNeeded, 0), 0).reduce(updateTopic, own);
 
 const step = fc.oneof(
     fc.record({ kind: fc.constant("write" as const), name: fc.constantFrom(...NAMES) }),
@@ -108,12 +114,14 @@
     const removed = (revision: number, retainUntilMs: number): TopicEvent => ({
         kind: "changed",
         changes: [{ kind: "removed", name: "a" }],
+        era: 0,
         revision,
         retainUntilMs,
     });
     const put = (name: string, revision: number): TopicEvent => ({
         kind: "changed",
         changes: [{ kind: "put", record: record(name, revision) }],
+        era: 0,
         revision,
         retainUntilMs: undefined,
     });
@@ -133,12 +141,14 @@
     const removed = (retainUntilMs: number | undefined): TopicEvent => ({
         kind: "changed",
         changes: [{ kind: "removed", name: "a" }],
+        era: 0,
         revision: 4,
         retainUntilMs,
     });
     const later: TopicEvent = {
         kind: "changed",
         changes: [{ kind: "put", record: record("c", 5) }],
+        era: 0,
         revision: 5,
         retainUntilMs: undefined,
     };
@@ -152,7 +162,8 @@
 test("an update without known removals carries names, not unchanged records", () => {
     const store = write(write(write({ records: new Map(), changes: [], revision: 1 }, "a"), "b"), "c");
     const listed = list(EMPTY_TOPIC, store);
-    assert.deepEqual(createTopicUpdate(listed, store.revision - 1, false), {
+    assert.deepEqual(createTopicUpdate(listed, { era: 0, revision: store.revision - 1 }, false, 0), {
+        era: 0,
         revision: store.revision,
         records: [record("c", store.revision)],
         names: ["a", "b", "c"],
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/peers.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/peers.test.ts
@@ -56,9 +56,9 @@
     ];
     const location = { dataCentre: "kutch-a", region: "kutch" };
     const older = { ...EMPTY_TOPIC, revision: 6, changedRevision: 6 };
-    assert.equal(findPeerWithNewerTopic("endpoints", older, peers, location)?.report.name, "near");
+    assert.equal(findPeerWithNewerTopic("endpoints", older, new Set(), peers, location)?.report.name, "near");
     const current = { ...EMPTY_TOPIC, revision: 8, changedRevision: 6 };
-    assert.equal(findPeerWithNewerTopic("endpoints", current, peers, location), undefined);
+    assert.equal(findPeerWithNewerTopic("endpoints", current, new Set(), peers, location), undefined);
 });
 
 test("callers get the instances of their data centre, and if it has only one, a second one of their region", () => {
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/updateTopic.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/updateTopic.test.ts
@@ -18,13 +18,16 @@
 const listed = (names: readonly string[], revision: number, retainUntilMs?: number): TopicEvent => ({
     kind: "listed",
     records: names.map(name => record(name, revision)),
+    era: 0,
     revision,
     retainUntilMs,
+    nowMs: 0,
 });
 
 const removed = (name: string, revision: number, retainUntilMs?: number): TopicEvent => ({
     kind: "changed",
     changes: [{ kind: "removed", name }],
+    era: 0,
     revision,
     retainUntilMs,
 });
@@ -52,7 +55,13 @@
 
 test("a removed record that is written again is not dropped after the grace period", () => {
     const put: TopicChange = { kind: "put", record: record("a", 12) };
-    const rewritten: TopicEvent = { kind: "changed", changes: [put], revision: 12, retainUntilMs: undefined };
+    const rewritten: TopicEvent = {
+        kind: "changed",
+        changes: [put],
+        era: 0,
+        revision: 12,
+        retainUntilMs: undefined,
+    };
     const state = apply(listed(["a"], 10), removed("a", 11, 2_000), rewritten, {
         kind: "time-passed",
         nowMs: 9_000,
--- a/packages/gypsumstage-steering/src/traffic/TopicEvent.ts
+++ b/packages/gypsumstage-steering/src/traffic/TopicEvent.ts
@@ -1,20 +1,25 @@
 import type { TopicChange } from "@gypsumstage/domain/traffic/TopicChange";
 import type { TopicRecord } from "@gypsumstage/domain/traffic/TopicRecord";
+import type { CarriedRecord } from "./CarriedRecord.js";
 
 /**
  * An update of a topic. Records that the store removed stay in use until `retainUntilMs` (monotonic); when it is
- * undefined, they are removed immediately.
+ * undefined, they are removed immediately. Revisions are those of the given era.
  */
 export type TopicEvent =
     | {
         readonly kind: "listed";
         readonly records: readonly TopicRecord[];
+        readonly era: number;
         readonly revision: number;
         readonly retainUntilMs: number | undefined;
+        /** Current monotonic time. */
+        readonly nowMs: number;
     }
     | {
         readonly kind: "changed";
         readonly changes: readonly TopicChange[];
+        readonly era: number;
         readonly revision: number;
         readonly retainUntilMs: number | undefined;
     }
@@ -26,6 +31,9 @@
         readonly kind: "merged";
         readonly records: readonly TopicRecord[];
         readonly names: readonly string[];
+        readonly era: number;
         readonly revision: number;
     }
+    /** Records of earlier eras that stay in force at another instance. */
+    | { readonly kind: "carried"; readonly era: number; readonly carried: readonly CarriedRecord[]; }
     | { readonly kind: "time-passed"; readonly nowMs: number; };
--- a/packages/gypsumstage-steering/src/traffic/deriveFleetView.ts
+++ b/packages/gypsumstage-steering/src/traffic/deriveFleetView.ts
@@ -2,6 +2,7 @@
 import type { TrafficPolicy } from "@gypsumstage/domain/traffic/TrafficPolicy";
 import type { UpstreamEndpoint } from "@gypsumstage/domain/traffic/UpstreamEndpoint";
 import type { FleetView } from "./FleetView.js";
+import { listRecordsInForce } from "./listRecordsInForce.js";
 import type { TopicState } from "./TopicState.js";
 
 const findLatestPolicy = (
@@ -9,7 +10,7 @@
     topic: TopicState,
 ): TrafficPolicy | undefined => {
     let latest = current;
-    for (const { value } of topic.records.values()) {
+    for (const { value } of listRecordsInForce(topic).values()) {
         if (value.kind === "policy" && (latest === undefined || value.policy.version > latest.version)) {
             latest = value.policy;
         }
@@ -19,7 +20,7 @@
 
 const listEndpoints = (topic: TopicState): ReadonlyMap<string, UpstreamEndpoint> => {
     const endpoints = new Map<string, UpstreamEndpoint>();
-    for (const { value } of topic.records.values()) {
+    for (const { value } of listRecordsInForce(topic).values()) {
         if (value.kind === "endpoint") {
             endpoints.set(value.endpoint.id, value.endpoint);
         }
@@ -41,7 +42,7 @@
 
 const listEvacuatedDataCentres = (topic: TopicState): ReadonlySet<string> => {
     const evacuated = new Set<string>();
-    for (const { value } of topic.records.values()) {
+    for (const { value } of listRecordsInForce(topic).values()) {
         if (value.kind === "evacuation") {
             evacuated.add(value.dataCentre);
         }
--- a/packages/gypsumstage-steering/src/traffic/getTopicVersion.ts
+++ b/packages/gypsumstage-steering/src/traffic/getTopicVersion.ts
@@ -1,3 +1,4 @@
+import { computeCarriedDigest } from "./computeCarriedDigest.js";
 import type { TopicState } from "./TopicState.js";
 import type { TopicVersion } from "./TopicVersion.js";
 
@@ -8,6 +9,10 @@
  * @returns the version, or undefined before the first listing
  */
 export const getTopicVersion = (state: TopicState): TopicVersion | undefined =>
-    state.changedRevision === undefined
-        ? undefined
-        : { revision: state.changedRevision, count: state.records.size, digest: state.digest };
+    state.changedRevision === undefined ? undefined : {
+        era: state.era,
+        revision: state.changedRevision,
+        count: state.records.size,
+        digest: state.digest,
+        ...(state.carried.size === 0 ? {} : { carried: computeCarriedDigest(state.carried) }),
+    };
--- a/packages/gypsumstage-steering/src/traffic/updateTopic.ts
+++ b/packages/gypsumstage-steering/src/traffic/updateTopic.ts
@@ -1,8 +1,12 @@
 import type { TopicChange } from "@gypsumstage/domain/traffic/TopicChange";
 import type { TopicRecord } from "@gypsumstage/domain/traffic/TopicRecord";
+import { beginEra } from "./beginEra.js";
 import { computeTopicDigest } from "./computeTopicDigest.js";
+import { dropReplacedCarried } from "./dropReplacedCarried.js";
+import { mergeCarried } from "./mergeCarried.js";
 import type { TopicEvent } from "./TopicEvent.js";
 import type { TopicState } from "./TopicState.js";
+import { updateDepartures } from "./updateDepartures.js";
 
 /**
  * Revision of a removal that is part of every update: a grace period ends at another time on each instance, so the
@@ -16,9 +20,6 @@
 type MergedEvent = Extract<TopicEvent, { readonly kind: "merged"; }>;
 type ChangedEvent = Extract<TopicEvent, { readonly kind: "changed"; }>;
 
-const isOlder = (state: TopicState, revision: number): boolean =>
-    state.revision !== undefined && revision < state.revision;
-
 const copyRetained = (
     state: TopicState,
     records: Map<string, TopicRecord>,
@@ -55,7 +56,7 @@
 
 const applyListing = (state: TopicState, event: ListedEvent): TopicState => {
     const records = new Map<string, TopicRecord>(event.records.map(record => [record.name, record]));
-    return replaceRecords(state, records, event.revision, event.retainUntilMs);
+    return replaceRecords({ ...state, era: event.era }, records, event.revision, event.retainUntilMs);
 };
 
 const applyMerge = (state: TopicState, event: MergedEvent): TopicState => {
@@ -126,11 +127,13 @@
     return { ...state, records, expiryByName, removals };
 };
 
-const applyUpdate = (state: TopicState, event: TopicEvent): TopicState => {
-    if (event.kind === "time-passed") {
-        return removeExpired(state, event.nowMs);
-    }
-    if (isOlder(state, event.revision)) {
+const endCarried = (state: TopicState, nowMs: number): TopicState => {
+    const kept = [...state.carried].filter(([, { untilMs }]) => untilMs === undefined || nowMs < untilMs);
+    return kept.length === state.carried.size ? state : { ...state, carried: new Map(kept) };
+};
+
+const applyOfEra = (state: TopicState, event: ListedEvent | MergedEvent | ChangedEvent): TopicState => {
+    if (state.revision !== undefined && event.revision < state.revision) {
         return state;
     }
     switch (event.kind) {
@@ -143,15 +146,40 @@
     }
 };
 
+const applyEvent = (state: TopicState, event: TopicEvent): TopicState => {
+    if (event.kind === "time-passed") {
+        return endCarried(removeExpired(state, event.nowMs), event.nowMs);
+    }
+    const isFirst = state.revision === undefined;
+    if (event.era === state.era || (isFirst && event.kind === "listed")) {
+        return event.kind === "carried" ? mergeCarried(state, event.carried) : applyOfEra(state, event);
+    }
+    // Changes since a revision say nothing about a copy of another era: it is replaced by a listing only.
+    return event.kind === "listed" && event.era > state.era ? beginEra(state, event) : state;
+};
+
 /**
- * Applies an update to a topic. An update of an older revision is ignored, so a stale read of the store or a peer that
- * lags behind never reverts the records.
+ * Applies an update to a topic. An update of an older era, or of an older revision of the same era, is ignored, so a stale
+ * read of the store or a peer that lags behind never reverts the records.
  *
  * @param state - the copy of the topic so far
  * @param event - the update
  * @returns the next state; the same object when nothing changed
  */
 export const updateTopic = (state: TopicState, event: TopicEvent): TopicState => {
-    const next = applyUpdate(state, event);
-    return next.records === state.records ? next : { ...next, digest: computeTopicDigest(next.records) };
+    const applied = applyEvent(state, event);
+    if (applied.records === state.records && applied.carried === state.carried) {
+        return applied;
+    }
+    const next = applied.era === state.era
+        ? {
+            ...applied,
+            carried: dropReplacedCarried({ ...applied, records: state.records }, applied.records),
+        }
+        : applied;
+    return {
+        ...next,
+        digest: computeTopicDigest(next.records),
+        departures: updateDepartures(state, next),
+    };
 };
