--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -28,6 +28,7 @@
 import { followTopics } from "./store/followTopics.js";
 import { createColdRateLimiter } from "./upstream/createColdRateLimiter.js";
 import { createEndpointTracker } from "./upstream/createEndpointTracker.js";
+import { createUpstreamConnector } from "./upstream/createUpstreamConnector.js";
 import { createUpstreamPool } from "./upstream/createUpstreamPool.js";
 import { registerHealthChecks } from "./upstream/registerHealthChecks.js";
 
@@ -40,17 +41,19 @@
  * @param initialCfg - the settings until the first `reconfigure`
  * @param platform - the platform-specific parts; the store is closed with the instance
  * @param log - receives the instance's events
+ * @param connector - opens the connections to endpoints
  * @returns the instance, listening on all its addresses
  */
 export const startInstance = async (
     initialCfg: InstanceConfig,
     platform: PlatformAdapter,
     log: Log,
+    connector = createUpstreamConnector(),
 ): Promise<Instance> => {
     let cfg = initialCfg;
     const incarnation = createUniqueId();
     const tracker = createEndpointTracker();
-    const pool = createUpstreamPool();
+    const pool = createUpstreamPool(connector);
     const rpc = createRpcClient(RPC_TIMEOUT_MS);
     let storeAgeMs = (): number | undefined => undefined;
     let phase: InstancePhase = "serving";
--- a/packages/gypsumstage-instance/src/upstream/createUpstreamPool.ts
+++ b/packages/gypsumstage-instance/src/upstream/createUpstreamPool.ts
@@ -1,4 +1,5 @@
 import { createResponseMemory } from "./createResponseMemory.js";
+import { createUpstreamConnector } from "./createUpstreamConnector.js";
 import { openConnection } from "./openConnection.js";
 import { sendRequest } from "./sendRequest.js";
 import type { UpstreamConnection } from "./UpstreamConnection.js";
@@ -11,9 +12,10 @@
  * Creates a pool of connections to endpoints. The most recently used connection is reused first, so that the
  * others reach their idle timeout and close. A connection is reused only after a complete response.
  *
+ * @param connector - opens the connections
  * @returns the pool, empty
  */
-export const createUpstreamPool = (): UpstreamPool => {
+export const createUpstreamPool = (connector = createUpstreamConnector()): UpstreamPool => {
     const idle = new Map<string, readonly UpstreamConnection[]>();
     const memory = createResponseMemory(RESPONSE_MEMORY_BYTES);
     const setIdle = (address: string, connections: readonly UpstreamConnection[]): void => {
@@ -26,7 +28,7 @@
     };
     const destroy = (connection: UpstreamConnection): void => void connection.client.destroy();
     const connect = (address: string): UpstreamConnection => {
-        const connection = openConnection(address);
+        const connection = openConnection(address, connector);
         connection.client.on("disconnect", () => {
             setIdle(address, idle.get(address)?.filter(each => each !== connection) ?? []);
             destroy(connection);
--- a/packages/gypsumstage-instance/src/upstream/openConnection.ts
+++ b/packages/gypsumstage-instance/src/upstream/openConnection.ts
@@ -1,9 +1,9 @@
 import type { Socket } from "node:net";
-import { buildConnector, Client } from "undici";
+import { Client } from "undici";
 import { registerAbnormalCloseListener } from "./registerAbnormalCloseListener.js";
 import type { UpstreamConnection } from "./UpstreamConnection.js";
+import type { UpstreamConnector } from "./UpstreamConnector.js";
 
-const CONNECT_TIMEOUT_MS = 1_000;
 /** Shorter than the endpoints' keep-alive timeout, so that no request is sent on a connection being closed. */
 const KEEP_ALIVE_TIMEOUT_MS = 4_000;
 /** Endpoints announce their keep-alive timeout in whole seconds; connections are closed this much earlier. */
@@ -15,13 +15,13 @@
  * socket errors are recorded here before the library handles them.
  *
  * @param address - `IP:port` of the endpoint
+ * @param connector - opens the connection
  * @returns the connection
  */
-export const openConnection = (address: string): UpstreamConnection => {
+export const openConnection = (address: string, connector: UpstreamConnector): UpstreamConnection => {
     let isBroken = false;
     let socket: Socket | undefined;
     let onReceive = (): void => undefined;
-    const connector = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
     const client = new Client(`http://${address}`, {
         connect: (options, callback) =>
             connector(options, (...result) => {
