Serve requests of instances that are cut off from endpoints through other instances

Cause: an instance knew one way to an endpoint only, its own. It took the failure of its links for that of each endpoint, refused every request with "no-endpoint", stayed named in look-ups, and could have told the fleet that sound endpoints had ended under its requests.

Change: a monitor tells within about a second whether a service can be reached: after a failed connection, or without contact for 0.6 s (1 s when idle), one connection is opened, then four to other data centres; only such a check decides, since responses still arrive on old connections. While cut off, a request goes through another instance that reaches the service, one hop at most, from a port of its own: in the route's regions only, with the time, the attempts, the service and the version of the configuration left by the sender; its word counts like an endpoint's, so nothing runs twice; a caller that leaves ends it at the endpoint. Reports name the services that cannot be reached, and look-ups leave such instances out while others remain. A closed port counts as the end of an endpoint only when the service is reached, so sound endpoints are not blamed; once the links are back, health checks are due at once, and for 2 s requests without an endpoint go the other way.

Ruled out: a slow way back as the cause (no attempt or health check succeeded during the cuts).

--- a/packages/gypsumstage-instance/src/HeaderCodec.ts
+++ b/packages/gypsumstage-instance/src/HeaderCodec.ts
@@ -14,6 +14,8 @@
     };
     /** Returns the headers that are added to a request to an endpoint; `remainingMs` is the time left. */
     readonly upstreamHeaders: (endpointId: string, remainingMs: number) => Readonly<Record<string, string>>;
+    /** Returns the headers that are added to a request to another instance; `remainingMs` is the time left. */
+    readonly relayHeaders: (remainingMs: number) => Readonly<Record<string, string>>;
     /** Reads the status and headers of an endpoint's response to the request `requestId`. */
     readonly readResponse: (
         status: number,
--- a/packages/gypsumstage-instance/src/InstanceConfig.ts
+++ b/packages/gypsumstage-instance/src/InstanceConfig.ts
@@ -14,6 +14,8 @@
         readonly lookup: string;
         /** `IP:port` for other instances: TCP for RPC, UDP for peer reports. */
         readonly internal: string;
+        /** `IP:port` for requests that other instances pass on. */
+        readonly relay: string;
         /** `IP:port` from which metrics are scraped. */
         readonly metrics: string;
     };
--- a/packages/gypsumstage-instance/src/InstanceGauges.ts
+++ b/packages/gypsumstage-instance/src/InstanceGauges.ts
@@ -9,4 +9,6 @@
     /** Retries and hedges that the budget still allows, by service. */
     readonly retriesLeft: Readonly<Record<string, number>>;
     readonly suspectRequests: number;
+    /** Number of services to whose endpoints no connection can be opened. */
+    readonly cutServices: number;
 }
--- a/packages/gypsumstage-instance/src/__tests__/integration/createUpstreamPool.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/integration/createUpstreamPool.test.ts
@@ -2,7 +2,10 @@
 import assert from "node:assert/strict";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { after, test } from "node:test";
+import { createResponseMemory } from "../../upstream/createResponseMemory.js";
+import { createUpstreamConnector } from "../../upstream/createUpstreamConnector.js";
 import { createUpstreamPool } from "../../upstream/createUpstreamPool.js";
+import { RESPONSE_MEMORY_BYTES } from "../../upstream/RESPONSE_MEMORY_BYTES.js";
 
 const teardowns: (() => void)[] = [];
 after(() => teardowns.forEach(teardown => teardown()));
@@ -31,7 +34,7 @@
 
 test("a response without a length is complete only when its connection was closed, not reset", async () => {
     const head = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf";
-    const pool = createUpstreamPool();
+    const pool = createUpstreamPool(createUpstreamConnector(), createResponseMemory(RESPONSE_MEMORY_BYTES));
     const closing = await startEndpoint(socket => socket.end(head));
     const resetting = await startEndpoint(socket => {
         socket.write(head);
@@ -44,7 +47,7 @@
 });
 
 test("a response body shorter than its content-length makes the attempt broken", async () => {
-    const pool = createUpstreamPool();
+    const pool = createUpstreamPool(createUpstreamConnector(), createResponseMemory(RESPONSE_MEMORY_BYTES));
     const address = await startEndpoint(socket =>
         socket.end("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf")
     );
@@ -53,14 +56,14 @@
 });
 
 test("a response that is not HTTP makes the attempt broken", async () => {
-    const pool = createUpstreamPool();
+    const pool = createUpstreamPool(createUpstreamConnector(), createResponseMemory(RESPONSE_MEMORY_BYTES));
     const address = await startEndpoint(socket => socket.write("%%% not http\r\n\r\n"));
     assert.equal((await pool.send(address, get).outcome).kind, "broken");
     await pool.close();
 });
 
 test("a connection is reused, but not after bytes beyond the end of the response", async () => {
-    const pool = createUpstreamPool();
+    const pool = createUpstreamPool(createUpstreamConnector(), createResponseMemory(RESPONSE_MEMORY_BYTES));
     const seen: number[] = [];
     const address = await startEndpoint((socket, _request, connection) => {
         seen.push(connection);
@@ -77,13 +80,13 @@
 });
 
 test("an attempt at an address without a listener is reported as not sent", async () => {
-    const pool = createUpstreamPool();
+    const pool = createUpstreamPool(createUpstreamConnector(), createResponseMemory(RESPONSE_MEMORY_BYTES));
     assert.equal((await pool.send("127.0.0.1:1", get).outcome).kind, "not-sent");
     await pool.close();
 });
 
 test("aborting an attempt closes its connection, so that the endpoint can stop processing the request", async () => {
-    const pool = createUpstreamPool();
+    const pool = createUpstreamPool(createUpstreamConnector(), createResponseMemory(RESPONSE_MEMORY_BYTES));
     let isClosed = false;
     const address = await startEndpoint(socket => {
         socket.once("close", () => {
@@ -100,7 +103,7 @@
 });
 
 test("after an early response to a large upload, no later request is sent as part of its body", async () => {
-    const pool = createUpstreamPool();
+    const pool = createUpstreamPool(createUpstreamConnector(), createResponseMemory(RESPONSE_MEMORY_BYTES));
     const body = Buffer.alloc(4_000_000, "b");
     const received = new Map<number, Buffer[]>();
     const address = await startEndpoint((socket, text, connection) => {
--- a/packages/gypsumstage-instance/src/__tests__/integration/endlessResponses.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/integration/endlessResponses.test.ts
@@ -3,7 +3,10 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { after, test } from "node:test";
 import type { AttemptOutcome } from "../../upstream/AttemptOutcome.js";
+import { createResponseMemory } from "../../upstream/createResponseMemory.js";
+import { createUpstreamConnector } from "../../upstream/createUpstreamConnector.js";
 import { createUpstreamPool } from "../../upstream/createUpstreamPool.js";
+import { RESPONSE_MEMORY_BYTES } from "../../upstream/RESPONSE_MEMORY_BYTES.js";
 import type { UpstreamPool } from "../../upstream/UpstreamPool.js";
 
 const teardowns: (() => void)[] = [];
@@ -105,7 +108,10 @@
     test(`a response without end in ${part} breaks the attempt after a bounded number of bytes`, {
         timeout: TEST_TIMEOUT_MS,
     }, async () => {
-        const pool = createUpstreamPool();
+        const pool = createUpstreamPool(
+            createUpstreamConnector(),
+            createResponseMemory(RESPONSE_MEMORY_BYTES),
+        );
         const endpoint = await startEndlessEndpoint(start, piece);
         await assertBroken(endpoint, pool.send(endpoint.address, get).outcome);
         await pool.close();
@@ -133,7 +139,10 @@
         timeout: TEST_TIMEOUT_MS,
     },
     async () => {
-        const pool = createUpstreamPool();
+        const pool = createUpstreamPool(
+            createUpstreamConnector(),
+            createResponseMemory(RESPONSE_MEMORY_BYTES),
+        );
         const quick = await startQuickEndpoint();
         const endless = await Promise.all(
             Array.from(
--- a/packages/gypsumstage-instance/src/createInstanceMetrics.ts
+++ b/packages/gypsumstage-instance/src/createInstanceMetrics.ts
@@ -21,6 +21,7 @@
                 endpoints: gauges.endpoints,
                 live_peers: gauges.livePeers,
                 in_flight: gauges.inFlight,
+                cut_services: gauges.cutServices,
                 suspect_requests: gauges.suspectRequests,
                 store_age_seconds: toSeconds(gauges.storeAgeMs),
             };
@@ -100,6 +101,12 @@
         labelNames: ["service", "result"],
         registers: [registry],
     });
+    const relays = new Counter({
+        name: "gypsumstage_relays_total",
+        help: "Requests passed on to another instance, or by one, and what came of them",
+        labelNames: ["direction", "result"],
+        registers: [registry],
+    });
     const storeCalls = new Counter({
         name: "gypsumstage_store_calls_total",
         help: "Calls to the store, by topic and what came of them",
@@ -141,6 +148,7 @@
         recordWait: (service, waitedMs) => waits.observe({ service }, waitedMs / MS_PER_SECOND),
         countRateLimitedAttempt: service => rateLimitedAttempts.inc({ service }),
         countPermit: (service, result) => permits.inc({ service, result }),
+        countRelay: (direction, result) => relays.inc({ direction, result }),
         recordAttempt: (service, classification, tookMs) =>
             attempts.observe({ service, verdict: classification }, tookMs / MS_PER_SECOND),
         recordTopicPull: (topic, result, records, tookMs) => {
--- a/packages/gypsumstage-instance/src/createRequestServer.ts
+++ b/packages/gypsumstage-instance/src/createRequestServer.ts
@@ -1,5 +1,6 @@
 import type { ClientLimits } from "@gypsumstage/domain/traffic/ClientLimits";
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer, type Server } from "node:http";
+import type { RequestHandler } from "./request/RequestHandler.js";
 
 /** Header size up to which the parser accepts a request; the handler checks the configured limit. */
 const MAX_PARSED_HEADER_BYTES = 262_144;
@@ -14,7 +15,7 @@
  * @returns the server, not yet listening, and the function that applies the configured limits
  */
 export const createRequestServer = (
-    handle: (req: IncomingMessage, res: ServerResponse) => Promise<void>,
+    handle: RequestHandler,
 ): { readonly server: Server; readonly applyLimits: (limits: ClientLimits) => void; } => {
     const server = createServer({ maxHeaderSize: MAX_PARSED_HEADER_BYTES, requestTimeout: 0, noDelay: true });
     server.on("request", (req, res) => void handle(req, res));
--- a/packages/gypsumstage-instance/src/request/AttemptStart.ts
+++ b/packages/gypsumstage-instance/src/request/AttemptStart.ts
@@ -3,6 +3,8 @@
 /** What came of starting an attempt: the endpoint that it was sent to, or why it was not sent. */
 export type AttemptStart =
     | Placement
+    /** The request was passed on to another instance. */
+    | { readonly kind: "relayed"; readonly instance: string; }
     /** Other endpoints could not take the request, and permits for the rate-limited ones are denied for now. */
     | { readonly kind: "rate-limited"; readonly retryAfterMs: number; }
     /** Endpoints ended while the request was in flight there. */
--- a/packages/gypsumstage-instance/src/request/CallerRequest.ts
+++ b/packages/gypsumstage-instance/src/request/CallerRequest.ts
@@ -1,3 +1,4 @@
+import type { RelayedRequest } from "../relay/RelayedRequest.js";
 import type { UpstreamRequest } from "../upstream/UpstreamRequest.js";
 import type { RequestFingerprint } from "./RequestFingerprint.js";
 
@@ -12,4 +13,6 @@
     readonly arrivedAtMs: number;
     /** The same for each repeat of the request, whatever its identifier. */
     readonly fingerprint: RequestFingerprint;
+    /** Set when another instance passed the request on; it is not passed on again. */
+    readonly relayed: RelayedRequest | undefined;
 }
--- a/packages/gypsumstage-instance/src/request/RequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/RequestContext.ts
@@ -4,6 +4,8 @@
 import type { InstanceMetrics } from "../InstanceMetrics.js";
 import type { PeerExchange } from "../peers/PeerExchange.js";
 import type { RequestPermits } from "../permits/RequestPermits.js";
+import type { ReachMonitor } from "../reach/ReachMonitor.js";
+import type { Relays } from "../relay/Relays.js";
 import type { SuspectRequests } from "../suspects/SuspectRequests.js";
 import type { ColdRateLimiter } from "../upstream/ColdRateLimiter.js";
 import type { EndpointRateLimits } from "../upstream/EndpointRateLimits.js";
@@ -24,6 +26,8 @@
     readonly pool: UpstreamPool;
     readonly peers: PeerExchange;
     readonly coldRateLimiter: ColdRateLimiter;
+    readonly reach: ReachMonitor;
+    readonly relays: Relays;
     readonly rateLimits: EndpointRateLimits;
     readonly permits: RequestPermits;
     readonly suspects: SuspectRequests;
--- a/packages/gypsumstage-instance/src/request/createAttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/createAttemptSet.ts
@@ -21,7 +21,8 @@
 /**
  * Creates the empty set of attempts of one request. Each attempt goes to another endpoint. Endpoints in
  * regions that the shift limiter does not allow at the moment are chosen only if no allowed one can take the
- * request. A request to a rate-limited endpoint needs a permit; while it is denied, other endpoints get the request.
+ * request. A request to a rate-limited endpoint needs a permit; while it is denied, other endpoints get the request. While
+ * this instance is cut off from the service, another instance that reaches it gets the request.
  *
  * @param ctx - provides the view, the typical latencies, the permits, the shift limiter and the retry budget
  * @param req - the caller's request
@@ -40,6 +41,7 @@
     deadlineAtMs: number,
 ): AttemptSet => {
     const tried = new Set<string>();
+    const triedRelays = new Set<string>();
     const running = new Map<string, RunningAttempt>();
     const placements: PlacementTrace[] = [];
     let sent = 0;
@@ -101,11 +103,22 @@
         const endpoint = placement.kind === "placed" ? ctx.view().endpoints.get(placement.id) : undefined;
         return endpoint === undefined || ctx.permits.take(endpoint);
     };
-    const startNext = async (): Promise<AttemptStart> => {
-        const verdict = ctx.suspects.judge(req.fingerprint, tried.size > 0);
-        if (verdict.kind === "refused") {
-            return { kind: "ends-endpoints", retryAfterMs: verdict.retryAfterMs };
+    /** Passes the request on to another instance, if one reaches the service and `isAllowed` returns true. */
+    const startRelay = (isAllowed: () => boolean): AttemptStart | undefined => {
+        const attemptsLeft = route.maxAttempts - sent;
+        const relay = req.relayed === undefined && attemptsLeft > 0
+            ? ctx.relays.choose(route, service, triedRelays)
+            : undefined;
+        if (relay === undefined || !isAllowed()) {
+            return undefined;
         }
+        triedRelays.add(relay.name);
+        const attempt = ctx.relays.start(req, service, relay, attemptsLeft, deadlineAtMs);
+        running.set(attempt.endpointId, attempt);
+        sent += 1;
+        return { kind: "relayed", instance: relay.name };
+    };
+    const startNextPlaced = async (): Promise<AttemptStart> => {
         for (let permits = 0; permits < MAX_PERMITS; permits++) {
             const candidates = listPlacementCandidates(ctx, route, service, key, tried);
             const placement = choosePlacement(candidates);
@@ -122,6 +135,19 @@
         }
         return explainNoEndpoint();
     };
+    const startNext = async (): Promise<AttemptStart> => {
+        const verdict = ctx.suspects.judge(req.fingerprint, tried.size > 0);
+        if (verdict.kind === "refused") {
+            return { kind: "ends-endpoints", retryAfterMs: verdict.retryAfterMs };
+        }
+        if (ctx.reach.isCut(service)) {
+            return startRelay(() => true) ?? { kind: "no-endpoint" };
+        }
+        const start = await startNextPlaced();
+        // Endpoints that were cut off get requests again only after a health check.
+        const isRelayed = start.kind === "no-endpoint" && ctx.reach.wasCutLately(service);
+        return isRelayed ? startRelay(() => true) ?? start : start;
+    };
     const needsNoPermit = (candidate: PlacementCandidate): boolean => {
         const endpoint = ctx.view().endpoints.get(candidate.id);
         return endpoint !== undefined && !ctx.permits.isNeeded(endpoint);
@@ -129,6 +155,12 @@
     return {
         startNext,
         startHedge: () => {
+            if (ctx.reach.isCut(service)) {
+                startRelay(() =>
+                    !ctx.suspects.isSuspect(req.fingerprint) && ctx.retryBudget.tryTake(service)
+                );
+                return;
+            }
             const free = listPlacementCandidates(ctx, route, service, key, tried)
                 .filter(hasFreeSlot)
                 .filter(needsNoPermit);
--- a/packages/gypsumstage-instance/src/request/createRequestHandler.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestHandler.ts
@@ -1,9 +1,14 @@
+import type { Route } from "@gypsumstage/domain/traffic/Route";
 import { dropHopByHopHeaders } from "@gypsumstage/shared/dropHopByHopHeaders";
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import { waitForNextPoll } from "@gypsumstage/shared/waitForNextPoll";
 import { matchRoute } from "@gypsumstage/steering/traffic/matchRoute";
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage } from "node:http";
 import type { InstancePhase } from "../InstancePhase.js";
+import { readRelayedRequest } from "../relay/readRelayedRequest.js";
+import { RELAY_HEADERS } from "../relay/RELAY_HEADERS.js";
+import type { RelayedRequest } from "../relay/RelayedRequest.js";
+import { toRelayHeaders } from "../relay/toRelayHeaders.js";
 import type { ReplyLabels } from "../ReplyLabels.js";
 import type { UpstreamRequest } from "../upstream/UpstreamRequest.js";
 import { createRequestFingerprint } from "./createRequestFingerprint.js";
@@ -11,6 +16,7 @@
 import { readWholeBody } from "./readWholeBody.js";
 import type { Reply } from "./Reply.js";
 import type { RequestContext } from "./RequestContext.js";
+import type { RequestHandler } from "./RequestHandler.js";
 import { serveRequest } from "./serveRequest.js";
 import { writeReply } from "./writeReply.js";
 
@@ -21,6 +27,8 @@
 const LEAVING_RETRY_AFTER_MS = 50;
 /** Maximum body size while no configuration has been received. */
 const DEFAULT_MAX_BODY_BYTES = 1_048_576;
+const RELAY_REFUSED_RETRY_AFTER_MS = 200;
+const RELAY_HEADER_NAMES: ReadonlySet<string> = new Set(Object.values(RELAY_HEADERS));
 
 const UNKNOWN_LABELS: ReplyLabels = { service: "unknown", kind: "unknown" };
 
@@ -31,6 +39,22 @@
 const countHeaderBytes = (req: IncomingMessage): number =>
     req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 
+const dropRelayHeaders = (headers: UpstreamRequest["headers"]): UpstreamRequest["headers"] =>
+    Object.fromEntries(Object.entries(headers).filter(([name]) => !RELAY_HEADER_NAMES.has(name)));
+
+const findRelayRefusal = (relayed: RelayedRequest | undefined, policyVersion: number): string | undefined => {
+    if (relayed === undefined) {
+        return "relay-malformed";
+    }
+    return policyVersion < relayed.policyVersion ? "policy-behind" : undefined;
+};
+
+/** Returns the route with no more attempts than the instance that passed the request on has left. */
+const limitAttempts = (route: Route, relayed: RelayedRequest | undefined): Route =>
+    relayed === undefined
+        ? route
+        : { ...route, maxAttempts: Math.min(route.maxAttempts, relayed.attemptsLeft) };
+
 /**
  * Creates the handler of callers' requests: it reads the body, checks the request against the limits, matches
  * it to a route, serves it and writes the reply.
@@ -38,12 +62,14 @@
  * @param ctx - provides the view, the header codec, the metrics and the log; also passed on to `serveRequest`
  * @param phase - returns the current phase; requests are refused in `refusing`, and connections are closed
  * after the reply in every phase other than `serving`
+ * @param sender - who sends the requests; those of instances state what their sender decided
  * @returns the handler; its promise never rejects
  */
 export const createRequestHandler = (
     ctx: RequestContext,
     phase: () => InstancePhase,
-): (req: IncomingMessage, res: ServerResponse) => Promise<void> => {
+    sender: "caller" | "instance",
+): RequestHandler => {
     const routeAndServe = (
         req: IncomingMessage,
         body: Buffer | undefined,
@@ -52,6 +78,15 @@
     ): Promise<LabelledReply> | LabelledReply => {
         const path = req.url ?? "/";
         const { policy } = ctx.view();
+        const relayed = sender === "instance" ? readRelayedRequest(req.headers) : undefined;
+        const refusal = sender === "instance" ? findRelayRefusal(relayed, policy?.version ?? 0) : undefined;
+        if (refusal !== undefined) {
+            return withUnknownLabels({
+                kind: "refused",
+                reason: refusal,
+                retryAfterMs: RELAY_REFUSED_RETRY_AFTER_MS,
+            });
+        }
         const route = matchRoute(policy?.routes ?? [], hostOf(req), path);
         if (route === undefined) {
             return withUnknownLabels({ kind: "rejected", reason: "no-route", status: STATUS_NOT_FOUND });
@@ -60,7 +95,7 @@
         const upstreamRequest: UpstreamRequest = {
             method: req.method ?? "GET",
             path,
-            headers: dropHopByHopHeaders(req.headers),
+            headers: dropRelayHeaders(dropHopByHopHeaders(req.headers)),
             body,
         };
         return serveRequest(
@@ -74,8 +109,9 @@
                     ? undefined
                     : arrivedAtMs + metadata.remainingMs,
                 arrivedAtMs,
+                relayed,
             },
-            route,
+            limitAttempts(route, relayed),
             callerDisconnect,
         );
     };
@@ -134,7 +170,12 @@
             ? withUnknownLabels({ kind: "abandoned" })
             : await validateAndServe(req, callerDisconnect, arrivedAtMs);
         const tookMs = monotonicNow() - arrivedAtMs;
-        ctx.metrics.recordReply(reply, labels, tookMs);
+        if (sender === "caller") {
+            ctx.metrics.recordReply(reply, labels, tookMs);
+        }
+        else {
+            ctx.metrics.countRelay("received", reply.kind);
+        }
         if (reply.kind !== "relayed") {
             const { requestId } = ctx.headerCodec.readRequest(req.headers);
             ctx.log("info", "request-not-served", {
@@ -148,7 +189,8 @@
         }
         if (!isDisconnected) {
             const isUnread = !req.complete;
-            writeReply(res, reply, phase() !== "serving" || isUnread);
+            const extraHeaders = sender === "instance" ? toRelayHeaders(reply) : {};
+            writeReply(res, reply, phase() !== "serving" || isUnread, extraHeaders);
         }
     };
 };
--- a/packages/gypsumstage-instance/src/request/createServeEventHandler.ts
+++ b/packages/gypsumstage-instance/src/request/createServeEventHandler.ts
@@ -2,6 +2,7 @@
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import type { AttemptSet } from "./AttemptSet.js";
 import type { FinishedAttempt } from "./FinishedAttempt.js";
+import { isStarted } from "./isStarted.js";
 import type { Reply } from "./Reply.js";
 import type { RetryBudget } from "./RetryBudget.js";
 import type { ServeEvent } from "./ServeEvent.js";
@@ -57,7 +58,7 @@
         const isUnbudgeted = !attempt.wasSent && attempts.unsentCount() <= MAX_UNBUDGETED_RETRIES;
         const isRetried = canRetry()
             && (isUnbudgeted || retryBudget.tryTake(service))
-            && (await attempts.startNext()).kind === "placed";
+            && isStarted(await attempts.startNext());
         if (isRetried || attempts.running().length > 0) {
             return undefined;
         }
@@ -67,8 +68,22 @@
             false,
         );
     };
+    /** Ends the request with what another instance decided, unless an attempt of this one may still succeed. */
+    const endWithRelayReply = (reply: Reply): Reply | undefined => {
+        if (reply.kind !== "relayed" && attempts.running().length > 0) {
+            return undefined;
+        }
+        if (reply.kind === "refused" && attempts.mayHaveRun()) {
+            return endWithoutResponse(reply.reason, false);
+        }
+        attempts.abort();
+        return reply;
+    };
     const handleFinished = async (attempt: FinishedAttempt): Promise<Reply | undefined> => {
         attempts.recordFinished(attempt);
+        if (attempt.reply !== undefined) {
+            return endWithRelayReply(attempt.reply);
+        }
         if (attempt.classification.kind !== "final") {
             return retryOrEnd(attempt);
         }
--- a/packages/gypsumstage-instance/src/request/serveRequest.ts
+++ b/packages/gypsumstage-instance/src/request/serveRequest.ts
@@ -4,6 +4,7 @@
 import { createAttemptSet } from "./createAttemptSet.js";
 import { createServeEventHandler } from "./createServeEventHandler.js";
 import { createTimer } from "./createTimer.js";
+import { isStarted } from "./isStarted.js";
 import type { LabelledReply } from "./LabelledReply.js";
 import { logSlowOrFailedRequest } from "./logSlowOrFailedRequest.js";
 import type { Reply } from "./Reply.js";
@@ -38,7 +39,7 @@
     callerDisconnect: Promise<void>,
 ): Promise<LabelledReply> => {
     const key = req.objectKey ?? req.id ?? String(Math.random());
-    const service = ctx.chooseService(route, key);
+    const service = req.relayed?.service ?? ctx.chooseService(route, key);
     if (service === undefined) {
         const reply: Reply = {
             kind: "refused",
@@ -48,7 +49,9 @@
         return { reply, labels: { service: "unknown", kind: route.kind } };
     }
     const labels = { service, kind: route.kind };
-    ctx.retryBudget.countRequest(service);
+    if (req.relayed === undefined) {
+        ctx.retryBudget.countRequest(service);
+    }
     const timeoutAtMs = req.arrivedAtMs + route.timeoutMs;
     const deadlineAtMs = Math.min(timeoutAtMs, req.callerDeadlineAtMs ?? timeoutAtMs);
     const attempts = createAttemptSet(ctx, req, route, service, key, deadlineAtMs);
@@ -57,7 +60,7 @@
     if (first.kind === "abandoned") {
         return { reply: { kind: "abandoned" }, labels };
     }
-    if (first.kind !== "placed") {
+    if (!isStarted(first)) {
         const retryAfterMs = first.kind === "no-endpoint" ? NO_ENDPOINT_RETRY_AFTER_MS : first.retryAfterMs;
         return { reply: { kind: "refused", reason: first.kind, retryAfterMs }, labels };
     }
--- a/packages/gypsumstage-instance/src/request/startAttempt.ts
+++ b/packages/gypsumstage-instance/src/request/startAttempt.ts
@@ -2,6 +2,7 @@
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import type { AttemptClassification } from "@gypsumstage/steering/traffic/AttemptClassification";
 import { classifyResponse } from "@gypsumstage/steering/traffic/classifyResponse";
+import { recordEndIfReached } from "../suspects/recordEndIfReached.js";
 import type { AttemptOutcome } from "../upstream/AttemptOutcome.js";
 import type { CallerRequest } from "./CallerRequest.js";
 import type { FinishedAttempt } from "./FinishedAttempt.js";
@@ -109,7 +110,7 @@
             ctx.suspects.recordBroken(endpoint, req.fingerprint);
         }
         else if (outcome.kind === "not-sent" && outcome.isPortClosed) {
-            ctx.suspects.recordEnd(endpoint);
+            void recordEndIfReached(ctx.reach, ctx.suspects, endpoint);
         }
         else if (classification.kind === "final" && !classification.isError) {
             ctx.suspects.recordSuccess(req.fingerprint);
@@ -117,6 +118,7 @@
     };
     const finished = attempt.outcome.then((outcome): FinishedAttempt => {
         endInFlight();
+        ctx.reach.recordOutcome(endpoint.service, outcome);
         const classification = classifyOutcome(ctx, req, outcome);
         recordHealth(outcome, classification);
         recordRateLimit(outcome, classification);
--- a/packages/gypsumstage-instance/src/request/writeReply.ts
+++ b/packages/gypsumstage-instance/src/request/writeReply.ts
@@ -33,29 +33,35 @@
  * @param res - the response, to which nothing has been written yet
  * @param reply - the reply; for `abandoned` the connection is destroyed
  * @param isClosing - true when the connection is to be closed after this reply
+ * @param extraHeaders - header fields that are added to the reply
  */
-export const writeReply = (res: ServerResponse, reply: Reply, isClosing: boolean): void => {
-    const connection: OutgoingHttpHeaders = isClosing ? { connection: "close" } : {};
+export const writeReply = (
+    res: ServerResponse,
+    reply: Reply,
+    isClosing: boolean,
+    extraHeaders: OutgoingHttpHeaders = {},
+): void => {
+    const added: OutgoingHttpHeaders = isClosing ? { ...extraHeaders, connection: "close" } : extraHeaders;
     switch (reply.kind) {
         case "relayed": {
             const headers = { ...dropHopByHopHeaders(reply.headers) } as OutgoingHttpHeaders;
             if (!hasNoBody(res.req.method, reply.status)) {
                 headers["content-length"] = reply.body.length;
             }
-            res.writeHead(reply.status, { ...headers, ...connection });
+            res.writeHead(reply.status, { ...headers, ...added });
             res.end(hasNoBody(res.req.method, reply.status) ? undefined : reply.body);
             return;
         }
         case "refused": {
             const retryAfter = (reply.retryAfterMs / MS_PER_SECOND).toFixed(2);
-            writeError(res, STATUS_REFUSED, reply.reason, { ...connection, "retry-after": retryAfter });
+            writeError(res, STATUS_REFUSED, reply.reason, { ...added, "retry-after": retryAfter });
             return;
         }
         case "failed":
-            writeError(res, reply.isTimeout ? STATUS_TIMEOUT : STATUS_FAILED, reply.reason, connection);
+            writeError(res, reply.isTimeout ? STATUS_TIMEOUT : STATUS_FAILED, reply.reason, added);
             return;
         case "rejected":
-            writeError(res, reply.status, reply.reason, connection);
+            writeError(res, reply.status, reply.reason, added);
             return;
         case "abandoned":
             res.destroy();
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -14,12 +14,15 @@
 import type { InstancePhase } from "./InstancePhase.js";
 import { startPeerExchange } from "./peers/startPeerExchange.js";
 import type { PlatformAdapter } from "./PlatformAdapter.js";
+import { createReachMonitor } from "./reach/createReachMonitor.js";
+import { createRelays } from "./relay/createRelays.js";
 import { createLocalPrimaryShares } from "./request/createLocalPrimaryShares.js";
 import { createRegionShiftLimiter } from "./request/createRegionShiftLimiter.js";
 import { createRequestHandler } from "./request/createRequestHandler.js";
 import { createRetryBudget } from "./request/createRetryBudget.js";
 import { createServiceChooser } from "./request/createServiceChooser.js";
 import type { RequestContext } from "./request/RequestContext.js";
+import type { RequestHandler } from "./request/RequestHandler.js";
 import { shutDownGracefully } from "./shutDownGracefully.js";
 import { startCoordination } from "./startCoordination.js";
 import { startFleetState } from "./startFleetState.js";
@@ -28,9 +31,11 @@
 import { followTopics } from "./store/followTopics.js";
 import { createColdRateLimiter } from "./upstream/createColdRateLimiter.js";
 import { createEndpointTracker } from "./upstream/createEndpointTracker.js";
+import { createResponseMemory } from "./upstream/createResponseMemory.js";
 import { createUpstreamConnector } from "./upstream/createUpstreamConnector.js";
 import { createUpstreamPool } from "./upstream/createUpstreamPool.js";
 import { registerHealthChecks } from "./upstream/registerHealthChecks.js";
+import { RESPONSE_MEMORY_BYTES } from "./upstream/RESPONSE_MEMORY_BYTES.js";
 
 /** Time-out of a fetch from another instance: a few round trips between regions; then another instance is asked. */
 const RPC_TIMEOUT_MS = 500;
@@ -53,7 +58,9 @@
     let cfg = initialCfg;
     const incarnation = createUniqueId();
     const tracker = createEndpointTracker();
-    const pool = createUpstreamPool(connector);
+    const responseMemory = createResponseMemory(RESPONSE_MEMORY_BYTES);
+    const pool = createUpstreamPool(connector, responseMemory);
+    const peerPool = createUpstreamPool(createUpstreamConnector(), responseMemory);
     const rpc = createRpcClient(RPC_TIMEOUT_MS);
     let storeAgeMs = (): number | undefined => undefined;
     let phase: InstancePhase = "serving";
@@ -67,9 +74,23 @@
         coordination.rateLimits.keepOnly(view.endpoints);
         if (view.policy !== undefined) {
             requestServer.applyLimits(view.policy.limits);
+            relayServer.applyLimits(view.policy.limits);
         }
     };
     const fleet = startFleetState(onViewChange, log);
+    const onReachChange = (service: string, isCut: boolean): void => {
+        for (const endpoint of fleet.view().endpointsByService.get(service) ?? []) {
+            if (isCut) {
+                coordination.suspects.forgetBroken(endpoint);
+            }
+            else {
+                tracker.recordHealthEvent(endpoint.id, { kind: "links-restored" });
+            }
+        }
+    };
+    const isBusy = (service: string): boolean =>
+        (fleet.view().endpointsByService.get(service) ?? []).some(({ id }) => tracker.inFlightAt(id) > 0);
+    const reach = createReachMonitor({ view: fleet.view, isBusy, connector, onChange: onReachChange, log });
     const isReady = (): boolean => {
         const view = fleet.view();
         return phase === "serving" && view.policy !== undefined && view.isComplete;
@@ -85,6 +106,8 @@
         region: cfg.region,
         address: cfg.listen.requests,
         incarnation,
+        relayAddress: cfg.listen.relay,
+        cutServices: reach.cutServices(),
         internalAddress: cfg.listen.internal,
         isReady: isReady(),
         topics: fleet.topicVersions(),
@@ -101,11 +124,12 @@
         inFlight,
         storeAgeMs: findStoreAge(storeAgeMs(), peers.live(), monotonicNow()),
         retriesLeft: retryBudget.remaining(),
+        cutServices: reach.cutServices().length,
         suspectRequests: coordination.suspects.size(),
     }));
     const peers = await startPeerExchange(cfg.listen.internal, cfg.seeds, createReport, metrics, log);
     const readyInstances = (): readonly PeerView[] => [
-        ...(isReady() ? [{ ...cfg, address: cfg.listen.requests }] : []),
+        ...(isReady() ? [{ ...cfg, address: cfg.listen.requests, cutServices: reach.cutServices() }] : []),
         ...peers.live().map(peer => peer.report).filter(report => report.isReady),
     ];
     const coordination = startCoordination(
@@ -125,6 +149,16 @@
         tracker,
         pool,
         peers,
+        reach,
+        relays: createRelays({
+            region: cfg.region,
+            peers,
+            pool: peerPool,
+            headerCodec: platform.headerCodec,
+            policyVersion: () => fleet.view().policy?.version ?? 0,
+            metrics,
+            log,
+        }),
         coldRateLimiter: createColdRateLimiter(
             cfg.name,
             () => [cfg, ...peers.live().map(peer => peer.report)],
@@ -144,8 +178,7 @@
         metrics,
         log,
     };
-    const handle = createRequestHandler(ctx, () => phase);
-    const requestServer = createRequestServer(async (req, res) => {
+    const countInFlight = (handle: RequestHandler): RequestHandler => async (req, res) => {
         inFlight += 1;
         try {
             await handle(req, res);
@@ -153,8 +186,14 @@
         finally {
             inFlight -= 1;
         }
-    });
-    const closeListeners = await startListeners(requestServer.server, {
+    };
+    const requestServer = createRequestServer(
+        countInFlight(createRequestHandler(ctx, () => phase, "caller")),
+    );
+    const relayServer = createRequestServer(
+        countInFlight(createRequestHandler(ctx, () => phase, "instance")),
+    );
+    const closeListeners = await startListeners(requestServer.server, relayServer.server, {
         cfg: () => cfg,
         platform,
         fleet,
@@ -168,6 +207,7 @@
         fleet.view,
         tracker,
         coordination.suspects,
+        reach,
         pool,
         platform.headerCodec,
         log,
@@ -195,6 +235,7 @@
         );
         log("info", "left", { requestsCut });
         stopHealthChecks();
+        reach.stop();
         followedTopics.stop();
         peers.stop();
         fleet.stop();
@@ -203,6 +244,7 @@
             rpc.close(),
             coordination.stop(),
             pool.close(),
+            peerPool.close(),
             closeListeners(),
         ]);
     };
--- a/packages/gypsumstage-instance/src/startListeners.ts
+++ b/packages/gypsumstage-instance/src/startListeners.ts
@@ -6,7 +6,9 @@
 import { registerRpc } from "@gypsumstage/shared/registerRpc";
 import { chooseInstances } from "@gypsumstage/steering/traffic/chooseInstances";
 import { createTopicUpdate } from "@gypsumstage/steering/traffic/createTopicUpdate";
+import { listHostServices } from "@gypsumstage/steering/traffic/listHostServices";
 import { listPermittedRegions } from "@gypsumstage/steering/traffic/listPermittedRegions";
+import { listReachingInstances } from "@gypsumstage/steering/traffic/listReachingInstances";
 import type { PeerView } from "@gypsumstage/steering/traffic/PeerView";
 import type { PermitDecision } from "@gypsumstage/steering/traffic/PermitDecision";
 import type { TopicUpdate } from "@gypsumstage/steering/traffic/TopicUpdate";
@@ -34,15 +36,23 @@
     readonly readNotices: NoticeExchange["readAll"];
 }
 
+const listenOn = (server: Server, address: string): Promise<void> => {
+    const parsed = parseAddress(address);
+    invariant(parsed, "address-malformed");
+    return new Promise(resolve => server.listen(parsed.port, parsed.host, resolve));
+};
+
 /**
  * Starts all servers of an instance: for callers' requests, lookups, readiness checks, metrics and RPC calls.
  *
  * @param requestServer - the server for callers' requests, not yet listening
+ * @param relayServer - the server for requests that other instances pass on, not yet listening
  * @param deps - state and settings for the other servers
  * @returns the function that closes them; open connections of callers are cut
  */
 export const startListeners = async (
     requestServer: Server,
+    relayServer: Server,
     deps: ListenerDependencies,
 ): Promise<() => Promise<void>> => {
     const { listen } = deps.cfg();
@@ -68,21 +78,22 @@
             const routes = deps.fleet.view().policy?.routes ?? [];
             return chooseInstances(
                 query,
-                deps.readyInstances(),
+                listReachingInstances(deps.readyInstances(), listHostServices(routes, query.host)),
                 listPermittedRegions(routes, query.host),
             );
         },
         () => deps.cfg().lookupTtlMs,
     );
-    const requestAddress = parseAddress(listen.requests);
-    invariant(requestAddress, "address-malformed");
     const servers = [internal, metrics, readiness, lookup];
     await Promise.all([
         ...servers.map(server => server.listen()),
-        new Promise<void>(resolve => requestServer.listen(requestAddress.port, requestAddress.host, resolve)),
+        listenOn(requestServer, listen.requests),
+        listenOn(relayServer, listen.relay),
     ]);
     return async () => {
         requestServer.closeAllConnections();
+        relayServer.close();
+        relayServer.closeAllConnections();
         await Promise.all(servers.map(server => server.app.close()));
     };
 };
--- a/packages/gypsumstage-instance/src/suspects/SuspectRequests.ts
+++ b/packages/gypsumstage-instance/src/suspects/SuspectRequests.ts
@@ -17,6 +17,8 @@
     readonly recordEnd: (endpoint: UpstreamEndpoint) => void;
     /** Records that the endpoint still runs. */
     readonly recordAlive: (endpoint: UpstreamEndpoint) => void;
+    /** Forgets broken connections to the endpoint, as not the endpoint but this instance's links were at fault. */
+    readonly forgetBroken: (endpoint: UpstreamEndpoint) => void;
     /** Number of suspect requests. */
     readonly size: () => number;
     /** Spreads changes to the other instances. */
--- a/packages/gypsumstage-instance/src/suspects/createSuspectRequests.ts
+++ b/packages/gypsumstage-instance/src/suspects/createSuspectRequests.ts
@@ -128,6 +128,7 @@
             }
         },
         recordAlive: endpoint => void brokenAttempts.take(getRun(endpoint)),
+        forgetBroken: endpoint => void brokenAttempts.take(getRun(endpoint)),
         size: () => suspects.get().size,
         topic: {
             name: "suspects",
--- a/packages/gypsumstage-instance/src/upstream/createUpstreamPool.ts
+++ b/packages/gypsumstage-instance/src/upstream/createUpstreamPool.ts
@@ -1,23 +1,20 @@
-import { createResponseMemory } from "./createResponseMemory.js";
-import { createUpstreamConnector } from "./createUpstreamConnector.js";
 import { openConnection } from "./openConnection.js";
+import type { ResponseMemory } from "./ResponseMemory.js";
 import { sendRequest } from "./sendRequest.js";
 import type { UpstreamConnection } from "./UpstreamConnection.js";
+import type { UpstreamConnector } from "./UpstreamConnector.js";
 import type { UpstreamPool } from "./UpstreamPool.js";
 
-/** Limit of all responses being received; leaves room for the process in the smallest instances of 250 MB. */
-const RESPONSE_MEMORY_BYTES = 67_108_864;
-
 /**
  * Creates a pool of connections to endpoints. The most recently used connection is reused first, so that the
  * others reach their idle timeout and close. A connection is reused only after a complete response.
  *
  * @param connector - opens the connections
+ * @param memory - memory that the responses being received share
  * @returns the pool, empty
  */
-export const createUpstreamPool = (connector = createUpstreamConnector()): UpstreamPool => {
+export const createUpstreamPool = (connector: UpstreamConnector, memory: ResponseMemory): UpstreamPool => {
     const idle = new Map<string, readonly UpstreamConnection[]>();
-    const memory = createResponseMemory(RESPONSE_MEMORY_BYTES);
     const setIdle = (address: string, connections: readonly UpstreamConnection[]): void => {
         if (connections.length === 0) {
             idle.delete(address);
--- a/packages/gypsumstage-instance/src/upstream/registerHealthChecks.ts
+++ b/packages/gypsumstage-instance/src/upstream/registerHealthChecks.ts
@@ -5,6 +5,8 @@
 import { startPeriodicTask } from "@gypsumstage/shared/startPeriodicTask";
 import type { FleetView } from "@gypsumstage/steering/traffic/FleetView";
 import type { HeaderCodec } from "../HeaderCodec.js";
+import type { ReachMonitor } from "../reach/ReachMonitor.js";
+import { recordEndIfReached } from "../suspects/recordEndIfReached.js";
 import type { SuspectRequests } from "../suspects/SuspectRequests.js";
 import type { EndpointTracker } from "./EndpointTracker.js";
 import type { UpstreamPool } from "./UpstreamPool.js";
@@ -20,6 +22,7 @@
  * @param view - returns the current fleet view
  * @param tracker - provides the endpoints' health and records the results
  * @param suspects - is told which endpoints have ended and which still run
+ * @param reach - tells which services this instance is cut off from; their endpoints are not checked
  * @param pool - connections to endpoints
  * @param headerCodec - reads the responses
  * @param log - receives endpoints that recovered or were replaced
@@ -29,6 +32,7 @@
     view: () => FleetView,
     tracker: EndpointTracker,
     suspects: Pick<SuspectRequests, "recordEnd" | "recordAlive">,
+    reach: Pick<ReachMonitor, "isCut" | "check">,
     pool: UpstreamPool,
     headerCodec: HeaderCodec,
     log: Log,
@@ -43,7 +47,7 @@
         if (outcome === undefined || outcome.kind !== "answered") {
             attempt.abort();
             if (outcome?.kind === "not-sent" && outcome.isPortClosed) {
-                suspects.recordEnd(endpoint);
+                void recordEndIfReached(reach, suspects, endpoint);
             }
             tracker.recordHealthEvent(endpoint.id, { kind: "check-failed", nowMs });
             return;
@@ -68,7 +72,7 @@
         const due = [...view().endpoints.values()].filter(endpoint => {
             const health = tracker.health(endpoint.id);
             return health.needsHealthCheck && !health.isLeaving && !endpoint.isDraining
-                && health.backoffUntilMs <= nowMs;
+                && health.backoffUntilMs <= nowMs && !reach.isCut(endpoint.service);
         });
         await Promise.all(due.map(check));
     };
--- a/packages/gypsumstage-steering/src/traffic/HealthEvent.ts
+++ b/packages/gypsumstage-steering/src/traffic/HealthEvent.ts
@@ -13,6 +13,8 @@
     | { readonly kind: "checked"; readonly nowMs: number; readonly coldMs: number; }
     /** A health check failed. */
     | { readonly kind: "check-failed"; readonly nowMs: number; }
+    /** The failures were those of this instance's links; a health check is due at once. */
+    | { readonly kind: "links-restored"; }
     /** The endpoint is leaving. */
     | { readonly kind: "leaving"; readonly nowMs: number; }
     /** The endpoint is cold until the given time. */
--- a/packages/gypsumstage-steering/src/traffic/PeerReport.ts
+++ b/packages/gypsumstage-steering/src/traffic/PeerReport.ts
@@ -8,6 +8,8 @@
     readonly incarnation: string;
     /** `IP:port` on which it serves requests of other instances. */
     readonly internalAddress: string;
+    /** `IP:port` on which it serves requests that other instances pass on; absent when it takes none. */
+    readonly relayAddress?: string;
     readonly isReady: boolean;
     /** Version of its copy of each topic; absent for a topic that it has not listed yet. */
     readonly topics: Readonly<Partial<Record<Topic, TopicVersion>>>;
--- a/packages/gypsumstage-steering/src/traffic/PeerView.ts
+++ b/packages/gypsumstage-steering/src/traffic/PeerView.ts
@@ -5,4 +5,6 @@
     readonly region: string;
     /** `IP:port` on which it accepts requests. */
     readonly address: string;
+    /** Services to whose endpoints it can open no connections; absent when there are none. */
+    readonly cutServices?: readonly string[];
 }
--- a/packages/gypsumstage-steering/src/traffic/updateHealth.ts
+++ b/packages/gypsumstage-steering/src/traffic/updateHealth.ts
@@ -59,6 +59,8 @@
                 needsHealthCheck: false,
                 coldUntilMs: Math.max(health.coldUntilMs, event.nowMs + event.coldMs),
             };
+        case "links-restored":
+            return { ...health, backoffUntilMs: 0, consecutiveFailures: 0 };
         case "leaving":
             return { ...health, isLeaving: true };
         case "cold":
