--- a/packages/gypsumstage-instance/src/__tests__/integration/createUpstreamPool.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/integration/createUpstreamPool.test.ts
@@ -5,8 +5,9 @@
 import { createResponseMemory } from "../../upstream/createResponseMemory.js";
 import { createUpstreamConnector } from "../../upstream/createUpstreamConnector.js";
 import { createUpstreamPool } from "../../upstream/createUpstreamPool.js";
-import { RESPONSE_MEMORY_BYTES } from "../../upstream/RESPONSE_MEMORY_BYTES.js";
 
+/** As in an instance. */
+const RESPONSE_MEMORY_BYTES = 67_108_864;
 const teardowns: (() => void)[] = [];
 after(() => teardowns.forEach(teardown => teardown()));
 
--- /dev/null
+++ b/packages/gypsumstage-instance/src/request/createRequestContext.ts
@@ -0,0 +1,77 @@
+import type { Log } from "@gypsumstage/shared/Log";
+import type { FleetView } from "@gypsumstage/steering/traffic/FleetView";
+import type { Coordination } from "../Coordination.js";
+import type { HeaderCodec } from "../HeaderCodec.js";
+import type { InstanceConfig } from "../InstanceConfig.js";
+import type { InstanceMetrics } from "../InstanceMetrics.js";
+import type { PeerExchange } from "../peers/PeerExchange.js";
+import { createRelays } from "../relay/createRelays.js";
+import { createColdRateLimiter } from "../upstream/createColdRateLimiter.js";
+import type { Upstreams } from "../upstream/Upstreams.js";
+import { createLocalPrimaryShares } from "./createLocalPrimaryShares.js";
+import { createServiceChooser } from "./createServiceChooser.js";
+import type { RegionShiftLimiter } from "./RegionShiftLimiter.js";
+import type { RequestContext } from "./RequestContext.js";
+import type { RetryBudget } from "./RetryBudget.js";
+
+/** The running parts of an instance that its requests use. */
+interface RequestParts {
+    readonly cfg: Pick<InstanceConfig, "name" | "region">;
+    readonly view: () => FleetView;
+    readonly upstreams: Upstreams;
+    readonly peers: PeerExchange;
+    readonly coordination: Coordination;
+    readonly retryBudget: RetryBudget;
+    readonly regionShiftLimiter: RegionShiftLimiter;
+    readonly headerCodec: HeaderCodec;
+    readonly metrics: InstanceMetrics;
+    readonly log: Log;
+}
+
+/**
+ * Creates what all requests of an instance share.
+ *
+ * @param parts - the running parts of the instance
+ * @returns the context
+ */
+export const createRequestContext = (parts: RequestParts): RequestContext => {
+    const { cfg, view, upstreams, peers, coordination, retryBudget, headerCodec, metrics, log } = parts;
+    const getColdRate = (service: string): number =>
+        view().policy?.services.find(each => each.name === service)?.coldRequestsPerSecond ?? 1;
+    return {
+        region: cfg.region,
+        headerCodec,
+        view,
+        tracker: upstreams.tracker,
+        pool: upstreams.pool,
+        reach: upstreams.reach,
+        relays: createRelays({
+            region: cfg.region,
+            peers,
+            pool: upstreams.relayPool,
+            headerCodec,
+            policyVersion: () => view().policy?.version ?? 0,
+            metrics,
+            log,
+        }),
+        peers,
+        coldRateLimiter: createColdRateLimiter(
+            cfg.name,
+            () => [cfg, ...peers.live().map(peer => peer.report)],
+            peers.isSettled,
+            getColdRate,
+        ),
+        rateLimits: coordination.rateLimits,
+        permits: coordination.permits,
+        suspects: coordination.suspects,
+        retryBudget,
+        localPrimaryShare: createLocalPrimaryShares(cfg.region, view, () => [
+            { region: cfg.region, demand: retryBudget.demand() },
+            ...peers.live().map(peer => peer.report),
+        ]),
+        regionShiftLimiter: parts.regionShiftLimiter,
+        chooseService: createServiceChooser(),
+        metrics,
+        log,
+    };
+};
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -7,35 +7,25 @@
 import type { PeerReport } from "@gypsumstage/steering/traffic/PeerReport";
 import type { PeerView } from "@gypsumstage/steering/traffic/PeerView";
 import { createInstanceMetrics } from "./createInstanceMetrics.js";
-import { createRequestServer } from "./createRequestServer.js";
+import { createRequestServers } from "./createRequestServers.js";
 import { findColdPeriods } from "./findColdPeriods.js";
 import type { Instance } from "./Instance.js";
 import type { InstanceConfig } from "./InstanceConfig.js";
 import type { InstancePhase } from "./InstancePhase.js";
 import { startPeerExchange } from "./peers/startPeerExchange.js";
 import type { PlatformAdapter } from "./PlatformAdapter.js";
-import { createReachMonitor } from "./reach/createReachMonitor.js";
-import { createRelays } from "./relay/createRelays.js";
-import { createLocalPrimaryShares } from "./request/createLocalPrimaryShares.js";
 import { createRegionShiftLimiter } from "./request/createRegionShiftLimiter.js";
-import { createRequestHandler } from "./request/createRequestHandler.js";
+import { createRequestContext } from "./request/createRequestContext.js";
 import { createRetryBudget } from "./request/createRetryBudget.js";
-import { createServiceChooser } from "./request/createServiceChooser.js";
-import type { RequestContext } from "./request/RequestContext.js";
-import type { RequestHandler } from "./request/RequestHandler.js";
 import { shutDownGracefully } from "./shutDownGracefully.js";
 import { startCoordination } from "./startCoordination.js";
 import { startFleetState } from "./startFleetState.js";
 import { startListeners } from "./startListeners.js";
 import { countStoreCalls } from "./store/countStoreCalls.js";
 import { followTopics } from "./store/followTopics.js";
-import { createColdRateLimiter } from "./upstream/createColdRateLimiter.js";
-import { createEndpointTracker } from "./upstream/createEndpointTracker.js";
-import { createResponseMemory } from "./upstream/createResponseMemory.js";
 import { createUpstreamConnector } from "./upstream/createUpstreamConnector.js";
-import { createUpstreamPool } from "./upstream/createUpstreamPool.js";
 import { registerHealthChecks } from "./upstream/registerHealthChecks.js";
-import { RESPONSE_MEMORY_BYTES } from "./upstream/RESPONSE_MEMORY_BYTES.js";
+import { startUpstreams } from "./upstream/startUpstreams.js";
 
 /** Time-out of a fetch from another instance: a few round trips between regions; then another instance is asked. */
 const RPC_TIMEOUT_MS = 500;
@@ -57,40 +47,28 @@
 ): Promise<Instance> => {
     let cfg = initialCfg;
     const incarnation = createUniqueId();
-    const tracker = createEndpointTracker();
-    const responseMemory = createResponseMemory(RESPONSE_MEMORY_BYTES);
-    const pool = createUpstreamPool(connector, responseMemory);
-    const peerPool = createUpstreamPool(createUpstreamConnector(), responseMemory);
     const rpc = createRpcClient(RPC_TIMEOUT_MS);
     let storeAgeMs = (): number | undefined => undefined;
     let phase: InstancePhase = "serving";
-    let inFlight = 0;
     const onViewChange = (view: FleetView, before: FleetView): void => {
         const nowMs = monotonicNow();
         for (const [id, coldMs] of findColdPeriods(before, view)) {
-            tracker.recordHealthEvent(id, { kind: "cold", untilMs: nowMs + coldMs });
+            upstreams.tracker.recordHealthEvent(id, { kind: "cold", untilMs: nowMs + coldMs });
         }
-        tracker.keepOnly(view.endpoints);
+        upstreams.tracker.keepOnly(view.endpoints);
         coordination.rateLimits.keepOnly(view.endpoints);
         if (view.policy !== undefined) {
-            requestServer.applyLimits(view.policy.limits);
-            relayServer.applyLimits(view.policy.limits);
+            servers.applyLimits(view.policy.limits);
         }
     };
     const fleet = startFleetState(onViewChange, log);
-    const onReachChange = (service: string, isCut: boolean): void => {
-        for (const endpoint of fleet.view().endpointsByService.get(service) ?? []) {
-            if (isCut) {
-                coordination.suspects.forgetBroken(endpoint);
-            }
-            else {
-                tracker.recordHealthEvent(endpoint.id, { kind: "links-restored" });
-            }
-        }
-    };
-    const isBusy = (service: string): boolean =>
-        (fleet.view().endpointsByService.get(service) ?? []).some(({ id }) => tracker.inFlightAt(id) > 0);
-    const reach = createReachMonitor({ view: fleet.view, isBusy, connector, onChange: onReachChange, log });
+    const upstreams = startUpstreams(
+        fleet.view,
+        endpoint => coordination.suspects.forgetBroken(endpoint),
+        connector,
+        log,
+    );
+    const { tracker, reach } = upstreams;
     const isReady = (): boolean => {
         const view = fleet.view();
         return phase === "serving" && view.policy !== undefined && view.isComplete;
@@ -121,7 +99,7 @@
         policyVersion: fleet.view().policy?.version,
         endpoints: fleet.view().endpoints.size,
         livePeers: peers.live().length,
-        inFlight,
+        inFlight: servers.inFlight(),
         storeAgeMs: findStoreAge(storeAgeMs(), peers.live(), monotonicNow()),
         retriesLeft: retryBudget.remaining(),
         cutServices: reach.cutServices().length,
@@ -140,60 +118,20 @@
         metrics,
         log,
     );
-    const getColdRate = (service: string): number =>
-        fleet.view().policy?.services.find(each => each.name === service)?.coldRequestsPerSecond ?? 1;
-    const ctx: RequestContext = {
-        region: cfg.region,
-        headerCodec: platform.headerCodec,
+    const ctx = createRequestContext({
+        cfg,
         view: fleet.view,
-        tracker,
-        pool,
+        upstreams,
         peers,
-        reach,
-        relays: createRelays({
-            region: cfg.region,
-            peers,
-            pool: peerPool,
-            headerCodec: platform.headerCodec,
-            policyVersion: () => fleet.view().policy?.version ?? 0,
-            metrics,
-            log,
-        }),
-        coldRateLimiter: createColdRateLimiter(
-            cfg.name,
-            () => [cfg, ...peers.live().map(peer => peer.report)],
-            peers.isSettled,
-            getColdRate,
-        ),
-        rateLimits: coordination.rateLimits,
-        permits: coordination.permits,
-        suspects: coordination.suspects,
+        coordination,
         retryBudget,
-        localPrimaryShare: createLocalPrimaryShares(cfg.region, fleet.view, () => [
-            { region: cfg.region, demand: retryBudget.demand() },
-            ...peers.live().map(peer => peer.report),
-        ]),
         regionShiftLimiter,
-        chooseService: createServiceChooser(),
+        headerCodec: platform.headerCodec,
         metrics,
         log,
-    };
-    const countInFlight = (handle: RequestHandler): RequestHandler => async (req, res) => {
-        inFlight += 1;
-        try {
-            await handle(req, res);
-        }
-        finally {
-            inFlight -= 1;
-        }
-    };
-    const requestServer = createRequestServer(
-        countInFlight(createRequestHandler(ctx, () => phase, "caller")),
-    );
-    const relayServer = createRequestServer(
-        countInFlight(createRequestHandler(ctx, () => phase, "instance")),
-    );
-    const closeListeners = await startListeners(requestServer.server, relayServer.server, {
+    });
+    const servers = createRequestServers(ctx, () => phase);
+    const closeListeners = await startListeners(servers, {
         cfg: () => cfg,
         platform,
         fleet,
@@ -208,7 +146,7 @@
         tracker,
         coordination.suspects,
         reach,
-        pool,
+        upstreams.pool,
         platform.headerCodec,
         log,
     );
@@ -228,14 +166,13 @@
             phase = next;
         };
         const requestsCut = await shutDownGracefully(
-            requestServer.server,
+            servers.callers,
             cfg.gracePeriodMs,
             setPhase,
-            () => inFlight,
+            servers.inFlight,
         );
         log("info", "left", { requestsCut });
         stopHealthChecks();
-        reach.stop();
         followedTopics.stop();
         peers.stop();
         fleet.stop();
@@ -243,8 +180,7 @@
             platform.store.close(),
             rpc.close(),
             coordination.stop(),
-            pool.close(),
-            peerPool.close(),
+            upstreams.stop(),
             closeListeners(),
         ]);
     };
--- a/packages/gypsumstage-instance/src/startListeners.ts
+++ b/packages/gypsumstage-instance/src/startListeners.ts
@@ -23,6 +23,7 @@
 import type { PermitIssuer } from "./permits/PermitIssuer.js";
 import type { PermitQuery } from "./permits/PermitQuery.js";
 import type { PlatformAdapter } from "./PlatformAdapter.js";
+import type { RequestServers } from "./RequestServers.js";
 
 /** State and settings that the servers of an instance use. */
 interface ListenerDependencies {
@@ -45,14 +46,12 @@
 /**
  * Starts all servers of an instance: for callers' requests, lookups, readiness checks, metrics and RPC calls.
  *
- * @param requestServer - the server for callers' requests, not yet listening
- * @param relayServer - the server for requests that other instances pass on, not yet listening
+ * @param requests - the servers for requests, not yet listening
  * @param deps - state and settings for the other servers
  * @returns the function that closes them; open connections of callers are cut
  */
 export const startListeners = async (
-    requestServer: Server,
-    relayServer: Server,
+    requests: Pick<RequestServers, "callers" | "relay">,
     deps: ListenerDependencies,
 ): Promise<() => Promise<void>> => {
     const { listen } = deps.cfg();
@@ -87,13 +86,13 @@
     const servers = [internal, metrics, readiness, lookup];
     await Promise.all([
         ...servers.map(server => server.listen()),
-        listenOn(requestServer, listen.requests),
-        listenOn(relayServer, listen.relay),
+        listenOn(requests.callers, listen.requests),
+        listenOn(requests.relay, listen.relay),
     ]);
     return async () => {
-        requestServer.closeAllConnections();
-        relayServer.close();
-        relayServer.closeAllConnections();
+        requests.callers.closeAllConnections();
+        requests.relay.close();
+        requests.relay.closeAllConnections();
         await Promise.all(servers.map(server => server.app.close()));
     };
 };
