Take a connection that could not be opened for a failed probe

Cause: on a failure the connector calls back with the error alone, so the socket is undefined; the probe compared it with null and took each refused connection for an opened one. The stand-in of the links passed null, as the library's types say, and hid this.

The log field of a request that is passed on is named relay, as instance is the name of the one that logs.

--- a/packages/gypsumstage-instance/src/reach/openProbe.ts
+++ b/packages/gypsumstage-instance/src/reach/openProbe.ts
@@ -24,8 +24,8 @@
     const finished = new Promise<void>(resolve => {
         connector(
             { hostname: target.host, host: address, protocol: "http:", port: String(target.port) },
-            (...[, socket]) => {
-                isOpened = socket !== null; // eslint-disable-line no-restricted-syntax -- undici's "no socket"
+            (err, socket) => {
+                isOpened = err === null; // eslint-disable-line no-restricted-syntax -- undici's "no error"
                 socket?.destroy();
                 resolve();
             },
--- a/packages/gypsumstage-instance/src/relay/createRelays.ts
+++ b/packages/gypsumstage-instance/src/relay/createRelays.ts
@@ -84,7 +84,7 @@
                 log("info", "request-relayed", {
                     request: req.id,
                     service,
-                    instance: relay.name,
+                    relay: relay.name,
                     verdict: result.classification,
                     tookMs: Math.round(monotonicNow() - startedAtMs),
                 });
