Check the endpoint that responded last before an instance takes itself for cut off

The probes now begin with the endpoint that responded last; when old connections live on but new ones are refused, that probe fails like the others.

--- a/packages/gypsumstage-instance/src/reach/ReachMonitor.ts
+++ b/packages/gypsumstage-instance/src/reach/ReachMonitor.ts
@@ -1,3 +1,4 @@
+import type { UpstreamEndpoint } from "@gypsumstage/domain/traffic/UpstreamEndpoint";
 import type { AttemptOutcome } from "../upstream/AttemptOutcome.js";
 
 /** Observes whether this instance reaches the endpoints of each service. */
@@ -8,8 +9,11 @@
     readonly wasCutLately: (service: string) => boolean;
     /** Names of the services for which that is so. */
     readonly cutServices: () => readonly string[];
-    /** Records the outcome of an attempt at an endpoint of a service. */
-    readonly recordOutcome: (service: string, outcome: AttemptOutcome) => void;
+    /** Records the outcome of an attempt at an endpoint. */
+    readonly recordOutcome: (
+        endpoint: Pick<UpstreamEndpoint, "id" | "service">,
+        outcome: AttemptOutcome,
+    ) => void;
     /** Checks the links to a service now, and returns whether any of its endpoints can be reached. */
     readonly check: (service: string) => Promise<boolean>;
     readonly stop: () => void;
--- a/packages/gypsumstage-instance/src/reach/createReachMonitor.ts
+++ b/packages/gypsumstage-instance/src/reach/createReachMonitor.ts
@@ -41,6 +41,8 @@
     const reachByService = new Map<string, ServiceReach>();
     /** When each service was last found to be cut off. */
     const cutAtMs = new Map<string, number>();
+    /** The endpoint of each service that responded last. */
+    const lastAnsweredIds = new Map<string, string>();
     const runningChecks = new Map<string, Promise<boolean>>();
     const getReach = (service: string): ServiceReach => {
         const nowMs = monotonicNow();
@@ -69,7 +71,8 @@
         const triedIds = new Set<string>();
         for (const count of PROBES_PER_ROUND) {
             const endpoints = view().endpointsByService.get(service) ?? [];
-            const chosen = chooseReachProbes(endpoints, triedIds, count, Math.random);
+            const preferredId = lastAnsweredIds.get(service);
+            const chosen = chooseReachProbes(endpoints, triedIds, count, Math.random, preferredId);
             const results = await Promise.all(
                 chosen.map(({ address }) => openProbe(connector, address, PROBE_TIMEOUT_MS)),
             );
@@ -106,8 +109,9 @@
         isCut: service => reachByService.get(service)?.isCut ?? false,
         wasCutLately: service => monotonicNow() - (cutAtMs.get(service) ?? -Infinity) < RECOVERY_MS,
         cutServices: () => [...reachByService].filter(([, { isCut }]) => isCut).map(([service]) => service),
-        recordOutcome: (service, outcome) => {
+        recordOutcome: ({ id, service }, outcome) => {
             if (outcome.kind === "answered") {
+                lastAnsweredIds.set(service, id);
                 dispatch(service, { kind: "answered", nowMs: monotonicNow() });
             }
             else if (outcome.kind !== "aborted") {
--- a/packages/gypsumstage-instance/src/request/startAttempt.ts
+++ b/packages/gypsumstage-instance/src/request/startAttempt.ts
@@ -118,7 +118,7 @@
     };
     const finished = attempt.outcome.then((outcome): FinishedAttempt => {
         endInFlight();
-        ctx.reach.recordOutcome(endpoint.service, outcome);
+        ctx.reach.recordOutcome(endpoint, outcome);
         const classification = classifyOutcome(ctx, req, outcome);
         recordHealth(outcome, classification);
         recordRateLimit(outcome, classification);
--- a/packages/gypsumstage-steering/src/traffic/chooseReachProbes.ts
+++ b/packages/gypsumstage-steering/src/traffic/chooseReachProbes.ts
@@ -8,6 +8,7 @@
  * @param excludedIds - endpoints that were tried already
  * @param count - largest number of endpoints
  * @param random - returns a number from 0 up to 1
+ * @param preferredId - the endpoint that responded last, which comes first if it was not tried
  * @returns the endpoints, in random order
  */
 export const chooseReachProbes = (
@@ -15,6 +16,7 @@
     excludedIds: ReadonlySet<string>,
     count: number,
     random: () => number,
+    preferredId?: string,
 ): readonly UpstreamEndpoint[] => {
     const shuffled = endpoints
         .filter(endpoint => !endpoint.isDraining && !excludedIds.has(endpoint.id))
@@ -27,5 +29,9 @@
         countByDataCentre.set(endpoint.dataCentre, rank + 1);
         return { endpoint, rank };
     });
-    return ranked.sort((left, right) => left.rank - right.rank).slice(0, count).map(each => each.endpoint);
+    const order = ({ endpoint, rank }: typeof ranked[number]): number =>
+        endpoint.id === preferredId ? -1 : rank;
+    return ranked.sort((left, right) => order(left) - order(right)).slice(0, count).map(each =>
+        each.endpoint
+    );
 };
