Add the test that the endpoint which responded last is checked first

With the preference taken out (the former signature) it fails, as each of four endpoints is first in a quarter of the runs.

--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/reach.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/reach.test.ts
@@ -59,6 +59,16 @@
     }
 });
 
+test("an endpoint that responded is among the first to be checked, so that others that are down are not taken for a cut", () => {
+    const endpoints = ["a", "a", "b", "c"].map((dataCentre, index) =>
+        createEndpoint(`e${index}`, { dataCentre })
+    );
+    for (let run = 0; run < 50; run++) {
+        const chosen = chooseReachProbes(endpoints, new Set(), 1, Math.random, "e1");
+        assert.deepEqual(chosen.map(each => each.id), ["e1"]);
+    }
+});
+
 const relay = (
     name: string,
     region: string,
