Go on with open connections when no instance can open new ones to a service

Now a request is placed here when there is no other instance for it and an endpoint responded within the last second.

Test: relays "an instance that can open no connection, like all others" failed before (no-endpoint).

--- a/packages/gypsumstage-instance/src/__tests__/unit/createTestContext.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createTestContext.ts
@@ -67,6 +67,7 @@
         reach: {
             isCut: () => false,
             wasCutLately: () => false,
+            hasContact: () => false,
             recordOutcome: () => undefined,
             check: () => Promise.resolve(true),
         },
--- a/packages/gypsumstage-instance/src/__tests__/unit/relays.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/relays.test.ts
@@ -1,3 +1,4 @@
+import { createEndpoint } from "@gypsumstage/steering/__tests__/unit/traffic/createEndpoint";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { classifyRelayOutcome } from "../../relay/classifyRelayOutcome.js";
@@ -72,20 +73,22 @@
 }
 
 /** A request of an instance that is cut off from its service, and what is passed on. */
-const startCutOff = (relayed: boolean): {
+const startCutOff = (relayed: boolean, hasContact = false): {
     readonly attempts: ReturnType<typeof createAttemptSet>;
     readonly started: readonly StartedRelay[];
     readonly handle: ReturnType<typeof createServeEventHandler>;
+    readonly sentTo: readonly string[];
 } => {
-    const { ctx, route, req } = createTestContext({
+    const { ctx, route, req, sentTo, setEndpoints } = createTestContext({
         deniedForMs: () => 0,
         isNeeded: () => false,
         take: () => Promise.resolve(true),
     });
+    setEndpoints([createEndpoint("e1")]);
     const started: StartedRelay[] = [];
     const cutOff = {
         ...ctx,
-        reach: { ...ctx.reach, isCut: () => true },
+        reach: { ...ctx.reach, isCut: () => true, hasContact: () => hasContact },
         relays: {
             choose: (_route, _service, tried) =>
                 ["n-1", "n-2"]
@@ -115,7 +118,7 @@
     const request = { ...req, relayed: relayed ? decided : undefined };
     const attempts = createAttemptSet(cutOff, request, unsafe, "desk", "17", deadlineAtMs);
     const handle = createServeEventHandler(attempts, unsafe, "desk", deadlineAtMs, ctx.retryBudget);
-    return { attempts, started, handle };
+    return { attempts, started, handle, sentTo };
 };
 
 test("a request that another instance may have run is passed on to no third one", async () => {
@@ -150,3 +153,12 @@
     assert.equal((await attempts.startNext()).kind, "no-endpoint");
     assert.equal(started.length, 0);
 });
+
+test("an instance that can open no connection, like all others, goes on with those that still work", async () => {
+    const working = startCutOff(true, true);
+    assert.equal((await working.attempts.startNext()).kind, "placed");
+    assert.equal(working.sentTo.length, 1);
+    const silent = startCutOff(true, false);
+    assert.equal((await silent.attempts.startNext()).kind, "no-endpoint");
+    assert.equal(silent.sentTo.length, 0);
+});
--- a/packages/gypsumstage-instance/src/reach/ReachMonitor.ts
+++ b/packages/gypsumstage-instance/src/reach/ReachMonitor.ts
@@ -7,6 +7,8 @@
     readonly isCut: (service: string) => boolean;
     /** The same, or until a moment ago, so that the endpoints' health may not be known yet. */
     readonly wasCutLately: (service: string) => boolean;
+    /** Returns whether an endpoint of a service responded a moment ago, on a connection of any age. */
+    readonly hasContact: (service: string) => boolean;
     /** Names of the services for which that is so. */
     readonly cutServices: () => readonly string[];
     /** Records the outcome of an attempt at an endpoint. */
--- a/packages/gypsumstage-instance/src/reach/createReachMonitor.ts
+++ b/packages/gypsumstage-instance/src/reach/createReachMonitor.ts
@@ -10,6 +10,8 @@
 import { openProbe } from "./openProbe.js";
 import type { ReachMonitor } from "./ReachMonitor.js";
 
+/** Time for which a response shows that connections still work. */
+const CONTACT_MS = 1_000;
 /** Time after the end of a cut within which the endpoints have been checked. */
 const RECOVERY_MS = 2_000;
 const TICK_MS = 50;
@@ -108,6 +110,7 @@
     return {
         isCut: service => reachByService.get(service)?.isCut ?? false,
         wasCutLately: service => monotonicNow() - (cutAtMs.get(service) ?? -Infinity) < RECOVERY_MS,
+        hasContact: service => monotonicNow() - getReach(service).contactAtMs < CONTACT_MS,
         cutServices: () => [...reachByService].filter(([, { isCut }]) => isCut).map(([service]) => service),
         recordOutcome: ({ id, service }, outcome) => {
             if (outcome.kind === "answered") {
--- a/packages/gypsumstage-instance/src/request/createAttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/createAttemptSet.ts
@@ -141,7 +141,9 @@
             return { kind: "ends-endpoints", retryAfterMs: verdict.retryAfterMs };
         }
         if (ctx.reach.isCut(service)) {
-            return startRelay(() => true) ?? { kind: "no-endpoint" };
+            const relayed = startRelay(() => true);
+            // While no instance can open connections, those that are open may still serve.
+            return relayed ?? (ctx.reach.hasContact(service) ? startNextPlaced() : { kind: "no-endpoint" });
         }
         const start = await startNextPlaced();
         // Endpoints that were cut off get requests again only after a health check.
