Tell budget plans apart by their nonce, not by the platform's version alone

A platform that is restored from a copy gives versions out again, so another plan under the same version took over the age of the lost one, and what instances may still hold of earlier plans was released too early. The nonce of a plan, until now compared nowhere, is unique to each write.

Not shown by a run of the roles: their stand-in platform cannot be restored.

--- a/packages/gypsumstage-steer/src/registerBudgetPlan.ts
+++ b/packages/gypsumstage-steer/src/registerBudgetPlan.ts
@@ -6,8 +6,10 @@
 import { getHolderName } from "@gypsumstage/steering/getHolderName";
 import { listBudgets } from "@gypsumstage/steering/listBudgets";
 import { listWatchers } from "@gypsumstage/steering/listWatchers";
+import type { PlanAge } from "@gypsumstage/steering/PlanAge";
 import { planBudgets } from "@gypsumstage/steering/planBudgets";
 import { rankByRendezvousHash } from "@gypsumstage/steering/rankByRendezvousHash";
+import { updatePlanAge } from "@gypsumstage/steering/updatePlanAge";
 import { collectDemands } from "./collectDemands.js";
 import { getPlanKey } from "./getPlanKey.js";
 import type { SteerContext } from "./SteerContext.js";
@@ -25,8 +27,7 @@
 export const registerBudgetPlan = (context: SteerContext): () => void => {
     const { platform, store, cfg, log } = context;
     const { region, name, launch } = cfg.instance;
-    let lastVersion: number | undefined;
-    let unchangedSinceMs = monotonicNow();
+    let age: PlanAge = { version: undefined, nonce: undefined, unchangedSinceMs: monotonicNow() };
     const isWriter = (nowMs: number): boolean => {
         const holders = Object.keys(collectDemands(store.get(), region, nowMs));
         return rankByRendezvousHash(`plan/${region}`, holders)[0] === getHolderName(name, launch);
@@ -46,7 +47,7 @@
             region,
             nonce,
             plan,
-            unchangedForMs: nowMs - unchangedSinceMs,
+            unchangedForMs: nowMs - age.unchangedSinceMs,
             budgets: listBudgets(view.configuration.intent, region),
             demands: collectDemands(view, region, nowMs),
         });
@@ -82,12 +83,11 @@
             return;
         }
         const version = read.value?.version;
-        if (version !== lastVersion) {
-            lastVersion = version;
-            // Counted from the end of the read: the plan was stored by then at the latest.
-            unchangedSinceMs = monotonicNow();
-        }
         const plan = read.value?.value as BudgetPlan | undefined;
+        const readPlan = version === undefined || plan === undefined
+            ? undefined
+            : { version, nonce: plan.nonce };
+        age = updatePlanAge(age, readPlan, monotonicNow());
         if (plan !== undefined) {
             store.dispatch({ kind: "plan-read", plan, readAtMs });
         }
