--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/reach.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/reach.test.ts
@@ -1,6 +1,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { chooseInstances } from "../../../traffic/chooseInstances.js";
 import { chooseReachProbes } from "../../../traffic/chooseReachProbes.js";
 import { chooseRelay } from "../../../traffic/chooseRelay.js";
 import { isReachCheckDue } from "../../../traffic/isReachCheckDue.js";
@@ -109,3 +110,24 @@
         ["a"],
     );
 });
+
+test("callers of a data centre whose instances are all cut off are told those of the other data centre of the region", () => {
+    const at = (
+        name: string,
+        dataCentre: string,
+        region: string,
+        cut: boolean,
+    ): ReturnType<typeof createReport> =>
+        createReport(name, { dataCentre, region, isReady: true, cutServices: cut ? ["desk"] : [] });
+    const instances = [
+        at("a", "kutch-a", "kutch", true),
+        at("b", "kutch-a", "kutch", true),
+        at("c", "kutch-b", "kutch", false),
+        at("d", "bharuch-a", "bharuch", false),
+    ];
+    const query = { host: "h", dataCentre: "kutch-a", region: "kutch" };
+    const lookUp = (services: readonly string[]): readonly string[] =>
+        chooseInstances(query, listReachingInstances(instances, new Set(services)), []);
+    assert.deepEqual(lookUp(["desk"]), ["c:1"]);
+    assert.deepEqual(lookUp(["ledger"]), ["a:1", "b:1"]);
+});
