--- a/packages/gypsumstage-steering/src/traffic/TopicState.ts
+++ b/packages/gypsumstage-steering/src/traffic/TopicState.ts
@@ -4,7 +4,7 @@
 
 /** An instance's copy of one topic of the store. */
 export interface TopicState {
-    /** Era of the store to which the revisions belong: how often the store had been restored from a copy. */
+    /** Era of the store to which the revisions belong; it rises each time the store is restored from a copy. */
     readonly era: number;
     /** Revision of the store up to which the records are complete; undefined before the first listing. */
     readonly revision: number | undefined;
