--- a/packages/gypsumstage-instance/src/reach/ReachMonitor.ts
+++ b/packages/gypsumstage-instance/src/reach/ReachMonitor.ts
@@ -9,7 +9,7 @@
     readonly wasCutLately: (service: string) => boolean;
     /** Returns whether an endpoint of a service responded a moment ago, on a connection of any age. */
     readonly hasContact: (service: string) => boolean;
-    /** Names of the services for which that is so. */
+    /** Names of the services for which `isCut` returns true. */
     readonly cutServices: () => readonly string[];
     /** Records the outcome of an attempt at an endpoint. */
     readonly recordOutcome: (
--- a/packages/gypsumstage-instance/src/reach/createReachMonitor.ts
+++ b/packages/gypsumstage-instance/src/reach/createReachMonitor.ts
@@ -17,7 +17,7 @@
 const TICK_MS = 50;
 /** Longest wait for a connection of a check; several round trips between regions. */
 const PROBE_TIMEOUT_MS = 250;
-/** Endpoints of the first round of a check, and of the second one when the first fails. */
+/** Endpoints that are tried in each round of a check; a round follows only when none before succeeded. */
 const PROBES_PER_ROUND: readonly number[] = [1, 4];
 
 /** What the monitor observes, and whom it tells. */
