Read the configuration head again after the platform was away

After a failed watch the next one now asks from no version and responds at once; an unchanged head is not fetched again, as generations are compared.

--- a/packages/gypsumstage-steer/src/registerHeadWatch.ts
+++ b/packages/gypsumstage-steer/src/registerHeadWatch.ts
@@ -71,6 +71,8 @@
         pauseMs = watched.ok && watched.value !== undefined ? 0 : RETRY_DELAY_MS;
         if (!watched.ok) {
             log("debug", "platform-unreachable", { error: watched.error });
+            // It may have been restored meanwhile and give versions out again, so the next watch must respond at once.
+            version = NO_VERSION;
             return;
         }
         if (watched.value === undefined) {
