Refuse requests whose head another server may read in another way

What callers saw: on Node.js 20.19.0 a request with a space in a field name got 504 `invalid header key`, outcome unknown (own roles) or was passed on to an endpoint (instance); a test of ours failed there.

Cause: which malformed heads are refused was left to the parser, whose releases differ. That of 20.19.0 accepts a space in and after a field name, and all let two Host fields and codings besides chunked through. A request that two servers read differently can hide another one (request smuggling).

Change: findHeadFault checks field names, control characters in values, repeated Host and Content-Length, a length beside chunked, and other transfer codings. Both interfaces refuse such a request unread with 400, not run, and close the connection.

Ruled out by raw requests at the parser of 20.19.0: bare CR and LF, NUL, folded fields, both lengths, two lengths, a signed or listed length and spaces in chunk sizes are refused by the parser there; they are tested all the same.

--- a/packages/gypsumstage-entry/src/createEntryServer.ts
+++ b/packages/gypsumstage-entry/src/createEntryServer.ts
@@ -1,4 +1,6 @@
+import { findHeadFault } from "@gypsumstage/shared/findHeadFault";
 import Fastify, { type FastifyInstance } from "fastify";
+import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { HEADERS } from "./read/HEADERS.js";
 import type { RequestHandler } from "./RequestHandler.js";
@@ -13,11 +15,16 @@
     ERR_HTTP_REQUEST_TIMEOUT: 408,
 };
 
+const STATUS_BAD_REQUEST = 400;
+
+const createErrorBody = (reason: string): string =>
+    JSON.stringify({ error: { kind: "request-malformed", reason, outcome: "not-run" } });
+
 /**
  * Creates the HTTP server of the entry. Request bodies are not parsed; the handler streams them.
  *
  * @param handler - handles each request
- * @param onMalformed - called with the error code when the HTTP parser rejects a request
+ * @param onMalformed - called with the reason when the head of a request is malformed
  * @returns the server, not yet listening
  */
 export const createEntryServer = (
@@ -35,15 +42,21 @@
             return;
         }
         onMalformed(code);
-        const status = STATUS_BY_ERROR_CODE[code] ?? 400;
-        const body = JSON.stringify({
-            error: { kind: "request-malformed", reason: code, outcome: "not-run" },
-        });
+        const status = STATUS_BY_ERROR_CODE[code] ?? STATUS_BAD_REQUEST;
+        const body = createErrorBody(code);
         socket.end(
             `HTTP/1.1 ${status} Malformed Request\r\ncontent-type: application/json\r\nconnection: close\r\n`
                 + `${HEADERS.outcome}: not-run\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
         );
     };
+    const refuse = (res: ServerResponse, fault: string): void => {
+        res.writeHead(STATUS_BAD_REQUEST, {
+            "content-type": "application/json",
+            "connection": "close",
+            [HEADERS.outcome]: "not-run",
+        });
+        res.end(createErrorBody(fault));
+    };
     const app = Fastify({
         keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
         requestTimeout: 0,
@@ -56,6 +69,12 @@
     app.addContentTypeParser("*", (_req, _payload, done) => done(null)); // eslint-disable-line no-restricted-syntax -- fastify's "no error"
     app.all("/*", (req, reply) => {
         reply.hijack();
+        const fault = findHeadFault(req.raw);
+        if (fault !== undefined) {
+            onMalformed(fault);
+            refuse(reply.raw, fault);
+            return;
+        }
         void handler(req.raw, reply.raw);
     });
     return app;
--- a/packages/gypsumstage-instance/src/request/createRequestHandler.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestHandler.ts
@@ -1,5 +1,6 @@
 import type { Route } from "@gypsumstage/domain/traffic/Route";
 import { dropHopByHopHeaders } from "@gypsumstage/shared/dropHopByHopHeaders";
+import { findHeadFault } from "@gypsumstage/shared/findHeadFault";
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import { waitForNextPoll } from "@gypsumstage/shared/waitForNextPoll";
 import { matchRoute } from "@gypsumstage/steering/traffic/matchRoute";
@@ -20,6 +21,7 @@
 import { serveRequest } from "./serveRequest.js";
 import { writeReply } from "./writeReply.js";
 
+const STATUS_BAD_REQUEST = 400;
 const STATUS_NOT_FOUND = 404;
 const STATUS_TOO_LARGE = 413;
 const STATUS_HEADERS_TOO_LARGE = 431;
@@ -166,9 +168,14 @@
         });
         // After a delay of the event loop, the caller's close may already be there behind its request.
         await waitForNextPoll();
+        const headFault = findHeadFault(req);
+        const handle = (): Promise<LabelledReply> | LabelledReply =>
+            headFault === undefined
+                ? validateAndServe(req, callerDisconnect, arrivedAtMs)
+                : withUnknownLabels({ kind: "rejected", reason: headFault, status: STATUS_BAD_REQUEST });
         const { reply, labels } = isDisconnected
             ? withUnknownLabels({ kind: "abandoned" })
-            : await validateAndServe(req, callerDisconnect, arrivedAtMs);
+            : await handle();
         const tookMs = monotonicNow() - arrivedAtMs;
         if (sender === "caller") {
             ctx.metrics.recordReply(reply, labels, tookMs);
@@ -188,7 +195,7 @@
             });
         }
         if (!isDisconnected) {
-            const isUnread = !req.complete;
+            const isUnread = !req.complete || headFault !== undefined;
             const extraHeaders = sender === "instance" ? toRelayHeaders(reply) : {};
             writeReply(res, reply, phase() !== "serving" || isUnread, extraHeaders);
         }
--- a/packages/gypsumstage-standins/src/__tests__/integration/http.test.ts
+++ b/packages/gypsumstage-standins/src/__tests__/integration/http.test.ts
@@ -48,6 +48,18 @@
         400,
     ],
     "a space in a field name": ["GET /berths/1 HTTP/1.1\r\nhost: x\r\nbad name: 1\r\n\r\n", 400],
+    "a space before the colon of a field": ["GET /berths/1 HTTP/1.1\r\nhost: x\r\nname : 1\r\n\r\n", 400],
+    "two host fields": ["GET /berths/1 HTTP/1.1\r\nhost: x\r\nhost: y\r\n\r\n", 400],
+    "a bare carriage return in a field": ["GET /berths/1 HTTP/1.1\r\nhost: x\r\na: 1\rb: 2\r\n\r\n", 400],
+    "a bare line feed after a field": ["GET /berths/1 HTTP/1.1\r\nhost: x\na: 1\r\n\r\n", 400],
+    "two equal content-length fields": [
+        "POST /confirmations HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\ncontent-length: 5\r\n\r\nhello",
+        400,
+    ],
+    "a coding besides chunked": [
+        "POST /confirmations HTTP/1.1\r\nhost: x\r\ntransfer-encoding: gzip, chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        400,
+    ],
     "no HTTP syntax": ["hello\r\n\r\n", 400],
     "header fields above the size limit": [
         `GET /berths/1 HTTP/1.1\r\nhost: x\r\nlong: ${"a".repeat(40_000)}\r\n\r\n`,
