Send nothing more to endpoints that say they are leaving or want none for some time

A leaving endpoint is left out at once by the instance that got the answer, and a notice tells all others, so that callers of no instance meet an endpoint about to exit; it counts for one run of the endpoint and ends when it starts again under its id. First tries, repeats, hedges (they all choose from the same candidates), attempts that waited for a permit, and health checks keep to both; a relayed request is held to what the other instance knows.

Ruled out: the endpoints' status in the store alone (the answer comes before it, and while the store is away); using the backoff for the pause (a passed health check and the end of a cut take it back).

--- a/packages/gypsumstage-instance/src/Coordination.ts
+++ b/packages/gypsumstage-instance/src/Coordination.ts
@@ -3,10 +3,12 @@
 import type { RequestPermits } from "./permits/RequestPermits.js";
 import type { SuspectRequests } from "./suspects/SuspectRequests.js";
 import type { EndpointRateLimits } from "./upstream/EndpointRateLimits.js";
+import type { LeavingEndpoints } from "./upstream/LeavingEndpoints.js";
 
 /** What instances decide together about requests. */
 export interface Coordination {
     readonly rateLimits: EndpointRateLimits;
+    readonly departures: LeavingEndpoints;
     readonly suspects: SuspectRequests;
     readonly permits: RequestPermits;
     readonly permitIssuer: PermitIssuer;
--- a/packages/gypsumstage-instance/src/HeaderCodec.ts
+++ b/packages/gypsumstage-instance/src/HeaderCodec.ts
@@ -27,6 +27,13 @@
      * undefined when the header is absent or malformed.
      */
     readonly readRateLimit: (headers: IncomingHttpHeaders) => number | undefined;
+    /** Returns whether an endpoint says in a response that it is leaving. */
+    readonly readLeaving: (headers: IncomingHttpHeaders) => boolean;
+    /**
+     * Reads for how long an endpoint that turned a request away wants no more of this instance, in milliseconds; undefined
+     * when it turned none away or states no time.
+     */
+    readonly readPauseMs: (status: number, headers: IncomingHttpHeaders) => number | undefined;
     /** Reads the response to a health check. */
     readonly readHealthCheck: (status: number, headers: IncomingHttpHeaders) => {
         readonly isHealthy: boolean;
--- a/packages/gypsumstage-instance/src/__tests__/unit/createTestContext.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createTestContext.ts
@@ -8,6 +8,7 @@
 import type { AttemptOutcome } from "../../upstream/AttemptOutcome.js";
 import { createEndpointRateLimits } from "../../upstream/createEndpointRateLimits.js";
 import { createEndpointTracker } from "../../upstream/createEndpointTracker.js";
+import { createLeavingEndpoints } from "../../upstream/createLeavingEndpoints.js";
 
 const NEVER = new Promise<never>(() => undefined);
 
@@ -40,6 +41,7 @@
     });
     const log = (): void => undefined;
     const upstreamRequest = { method: "GET", path: "/check/1", headers: { host: "desk" }, body: undefined };
+    const tracker = createEndpointTracker();
     const ctx = {
         region: "kutch",
         headerCodec: {
@@ -52,11 +54,14 @@
                 isAddressReassigned: false,
                 isEncoded: false,
             }),
+            readLeaving: (headers: Readonly<Record<string, string>>) => headers["leaving"] !== undefined,
+            readPauseMs: (...[, headers]: readonly [number, Readonly<Record<string, string>>]) =>
+                headers["pause"] === undefined ? undefined : Number(headers["pause"]),
             readRateLimit: (headers: Readonly<Record<string, string>>) =>
                 headers["limit"] === undefined ? undefined : Number(headers["limit"]),
         },
         view,
-        tracker: createEndpointTracker(),
+        tracker,
         pool: {
             send: (address: string) => {
                 sentTo.push(address);
@@ -73,6 +78,7 @@
         },
         relays: { choose: () => undefined },
         coldRateLimiter: { isAvailable: () => true, take: () => undefined },
+        departures: createLeavingEndpoints(id => view().endpoints.get(id), tracker, log),
         rateLimits: createEndpointRateLimits(id => view().endpoints.get(id), log),
         permits,
         suspects: createSuspectRequests(() => false, log),
--- a/packages/gypsumstage-instance/src/request/RequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/RequestContext.ts
@@ -10,6 +10,7 @@
 import type { ColdRateLimiter } from "../upstream/ColdRateLimiter.js";
 import type { EndpointRateLimits } from "../upstream/EndpointRateLimits.js";
 import type { EndpointTracker } from "../upstream/EndpointTracker.js";
+import type { LeavingEndpoints } from "../upstream/LeavingEndpoints.js";
 import type { UpstreamPool } from "../upstream/UpstreamPool.js";
 import type { LocalPrimaryShares } from "./LocalPrimaryShares.js";
 import type { RegionShiftLimiter } from "./RegionShiftLimiter.js";
@@ -29,6 +30,7 @@
     readonly reach: ReachMonitor;
     readonly relays: Relays;
     readonly rateLimits: EndpointRateLimits;
+    readonly departures: LeavingEndpoints;
     readonly permits: RequestPermits;
     readonly suspects: SuspectRequests;
     readonly retryBudget: RetryBudget;
--- a/packages/gypsumstage-instance/src/request/createAttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/createAttemptSet.ts
@@ -71,10 +71,14 @@
         const placement = placeRequest(allowed, typicalMs, remainingMs);
         return placement.kind === "placed" ? placement : placeRequest(candidates, typicalMs, remainingMs);
     };
-    /** Sends the request and returns true, unless the endpoint has left meanwhile. */
+    /** Sends the request and returns true, unless the endpoint wants none any more. */
     const start = (placement: Placement, candidates: readonly PlacementCandidate[]): boolean => {
         const endpoint = placement.kind === "placed" ? ctx.view().endpoints.get(placement.id) : undefined;
-        if (endpoint === undefined || endpoint.isDraining) {
+        const health = endpoint === undefined ? undefined : ctx.tracker.health(endpoint.id);
+        const hasLeft = endpoint?.isDraining || health?.isLeaving;
+        if (
+            endpoint === undefined || health === undefined || hasLeft || health.pausedUntilMs > monotonicNow()
+        ) {
             return false;
         }
         addTrace(placement, candidates);
@@ -91,10 +95,16 @@
         return true;
     };
     const explainNoEndpoint = (): AttemptStart => {
+        const nowMs = monotonicNow();
         const waitsMs = (ctx.view().endpointsByService.get(service) ?? [])
             .filter(endpoint => !tried.has(endpoint.id))
-            .map(ctx.permits.deniedForMs)
-            .filter(deniedForMs => deniedForMs > 0);
+            .map(endpoint =>
+                Math.max(
+                    ctx.permits.deniedForMs(endpoint),
+                    ctx.tracker.health(endpoint.id).pausedUntilMs - nowMs,
+                )
+            )
+            .filter(waitMs => waitMs > 0);
         return waitsMs.length === 0
             ? { kind: "no-endpoint" }
             : { kind: "rate-limited", retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.min(...waitsMs)) };
--- a/packages/gypsumstage-instance/src/request/createRequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestContext.ts
@@ -62,6 +62,7 @@
             getColdRate,
         ),
         rateLimits: coordination.rateLimits,
+        departures: coordination.departures,
         permits: coordination.permits,
         suspects: coordination.suspects,
         retryBudget,
--- a/packages/gypsumstage-instance/src/request/listPlacementCandidates.ts
+++ b/packages/gypsumstage-instance/src/request/listPlacementCandidates.ts
@@ -33,7 +33,8 @@
     );
     const reachable = usable.filter(endpoint => {
         const health = ctx.tracker.health(endpoint.id);
-        return !tried.has(endpoint.id) && !health.needsHealthCheck && health.backoffUntilMs <= nowMs;
+        return !tried.has(endpoint.id) && !health.needsHealthCheck && health.backoffUntilMs <= nowMs
+            && health.pausedUntilMs <= nowMs;
     });
     return reachable.filter(endpoint =>
         (!isCold(ctx, endpoint, nowMs) || ctx.coldRateLimiter.isAvailable(endpoint))
--- a/packages/gypsumstage-instance/src/request/startAttempt.ts
+++ b/packages/gypsumstage-instance/src/request/startAttempt.ts
@@ -93,6 +93,20 @@
             }
         }
     };
+    /** Records whether the endpoint says that it is leaving, or that it wants no requests for some time. */
+    const recordAnnouncements = (outcome: AttemptOutcome, classification: AttemptClassification): void => {
+        const isReassigned = classification.kind === "not-run" && classification.reason === "other-endpoint";
+        if (outcome.kind !== "answered" || isReassigned) {
+            return;
+        }
+        if (ctx.headerCodec.readLeaving(outcome.headers)) {
+            ctx.departures.observe(endpoint);
+        }
+        const pauseMs = ctx.headerCodec.readPauseMs(outcome.status, outcome.headers);
+        if (pauseMs !== undefined) {
+            tracker.recordHealthEvent(endpoint.id, { kind: "paused", untilMs: monotonicNow() + pauseMs });
+        }
+    };
     const recordRateLimit = (outcome: AttemptOutcome, classification: AttemptClassification): void => {
         const isFromEndpoint = classification.kind === "final"
             || (classification.kind === "not-run" && classification.reason !== "other-endpoint");
@@ -121,6 +135,7 @@
         ctx.reach.recordOutcome(endpoint, outcome);
         const classification = classifyOutcome(ctx, req, outcome);
         recordHealth(outcome, classification);
+        recordAnnouncements(outcome, classification);
         recordRateLimit(outcome, classification);
         recordSuspect(outcome, classification);
         ctx.metrics.recordAttempt(endpoint.service, classification.kind, monotonicNow() - startedAtMs);
--- a/packages/gypsumstage-instance/src/startCoordination.ts
+++ b/packages/gypsumstage-instance/src/startCoordination.ts
@@ -10,16 +10,19 @@
 import { startPermits } from "./permits/startPermits.js";
 import { createSuspectRequests } from "./suspects/createSuspectRequests.js";
 import { createEndpointRateLimits } from "./upstream/createEndpointRateLimits.js";
+import { createLeavingEndpoints } from "./upstream/createLeavingEndpoints.js";
+import type { EndpointTracker } from "./upstream/EndpointTracker.js";
 
 type SelfReport = Pick<PeerReport, "name" | "dataCentre" | "region" | "internalAddress" | "isReady">;
 
 /**
- * Starts what instances decide together about requests: the rate limits of endpoints with their permits, and the requests
- * that end endpoints. Both are spread as notices.
+ * Starts what instances decide together about requests: the rate limits of endpoints with their permits, the endpoints that
+ * are leaving, and the requests that end endpoints. All are spread as notices.
  *
  * @param self - returns this instance as the others see it
  * @param peers - the reports of the other instances
  * @param view - returns the current fleet view
+ * @param tracker - is told which endpoints are leaving
  * @param rpc - client for RPC calls to other instances
  * @param metrics - counts granted and denied permits
  * @param log - receives the events of all parts
@@ -29,6 +32,7 @@
     self: () => SelfReport,
     peers: PeerExchange,
     view: () => FleetView,
+    tracker: Pick<EndpointTracker, "recordHealthEvent">,
     rpc: RpcClient,
     metrics: Pick<InstanceMetrics, "countPermit">,
     log: Log,
@@ -39,10 +43,11 @@
             .filter(report => report.isReady)
             .map(report => report.name);
     const rateLimits = createEndpointRateLimits(id => view().endpoints.get(id), log);
+    const departures = createLeavingEndpoints(id => view().endpoints.get(id), tracker, log);
     const suspects = createSuspectRequests(digest => isProber(digest, ownName, listReadyNames()), log);
     const notices = startNoticeExchange(
         ownName,
-        [rateLimits.topic, suspects.topic],
+        [rateLimits.topic, departures.topic, suspects.topic],
         peers,
         () => view().isComplete,
         rpc,
@@ -51,6 +56,7 @@
     const { permits, issuer, stop: stopPermits } = startPermits(self, peers, view, rateLimits, metrics, log);
     return {
         rateLimits,
+        departures,
         suspects,
         permits,
         permitIssuer: issuer,
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -12,6 +12,7 @@
 import type { Instance } from "./Instance.js";
 import type { InstanceConfig } from "./InstanceConfig.js";
 import type { InstancePhase } from "./InstancePhase.js";
+import { listRestarted } from "./listRestarted.js";
 import { startPeerExchange } from "./peers/startPeerExchange.js";
 import type { PlatformAdapter } from "./PlatformAdapter.js";
 import { createRegionShiftLimiter } from "./request/createRegionShiftLimiter.js";
@@ -52,11 +53,13 @@
     let phase: InstancePhase = "serving";
     const onViewChange = (view: FleetView, before: FleetView): void => {
         const nowMs = monotonicNow();
+        listRestarted(before, view).forEach(upstreams.tracker.forget);
         for (const [id, coldMs] of findColdPeriods(before, view)) {
             upstreams.tracker.recordHealthEvent(id, { kind: "cold", untilMs: nowMs + coldMs });
         }
         upstreams.tracker.keepOnly(view.endpoints);
         coordination.rateLimits.keepOnly(view.endpoints);
+        coordination.departures.keepOnly(view.endpoints);
         if (view.policy !== undefined) {
             servers.applyLimits(view.policy.limits);
         }
@@ -114,6 +117,7 @@
         () => ({ ...cfg, internalAddress: cfg.listen.internal, isReady: isReady() }),
         peers,
         fleet.view,
+        tracker,
         rpc,
         metrics,
         log,
@@ -145,6 +149,7 @@
         fleet.view,
         tracker,
         coordination.suspects,
+        coordination.departures,
         reach,
         upstreams.pool,
         platform.headerCodec,
--- a/packages/gypsumstage-instance/src/upstream/EndpointTracker.ts
+++ b/packages/gypsumstage-instance/src/upstream/EndpointTracker.ts
@@ -21,6 +21,8 @@
     readonly typicalMs: (service: string, targetLatencyMs: number) => number;
     /** Updates the typical latency of the service; ignored before the first call of `typicalMs` for it. */
     readonly recordLatency: (service: string, latencyMs: number) => void;
+    /** Evicts what was observed of an endpoint, because it started again under the same id. */
+    readonly forget: (id: string) => void;
     /** Evicts health and warm objects of endpoints that are not among the given ones. */
     readonly keepOnly: (endpoints: ReadonlyMap<string, UpstreamEndpoint>) => void;
 }
--- a/packages/gypsumstage-instance/src/upstream/createEndpointTracker.ts
+++ b/packages/gypsumstage-instance/src/upstream/createEndpointTracker.ts
@@ -34,6 +34,10 @@
             inFlight.delete(id);
         }
     };
+    const forget = (id: string): void => {
+        health.delete(id);
+        warmObjects.delete(id);
+    };
     return {
         health: id => health.get(id) ?? INITIAL_HEALTH,
         recordHealthEvent: (id, event) => {
@@ -64,13 +68,8 @@
                 typicalByService.set(service, updateTypicalLatency(currentMs, latencyMs));
             }
         },
-        keepOnly: endpoints => {
-            for (const id of [...health.keys(), ...warmObjects.keys()]) {
-                if (!endpoints.has(id)) {
-                    health.delete(id);
-                    warmObjects.delete(id);
-                }
-            }
-        },
+        forget,
+        keepOnly: endpoints =>
+            [...health.keys(), ...warmObjects.keys()].filter(id => !endpoints.has(id)).forEach(forget),
     };
 };
--- a/packages/gypsumstage-instance/src/upstream/registerHealthChecks.ts
+++ b/packages/gypsumstage-instance/src/upstream/registerHealthChecks.ts
@@ -9,6 +9,7 @@
 import { recordEndIfReached } from "../suspects/recordEndIfReached.js";
 import type { SuspectRequests } from "../suspects/SuspectRequests.js";
 import type { EndpointTracker } from "./EndpointTracker.js";
+import type { LeavingEndpoints } from "./LeavingEndpoints.js";
 import type { UpstreamPool } from "./UpstreamPool.js";
 
 const CHECK_INTERVAL_MS = 100;
@@ -22,6 +23,7 @@
  * @param view - returns the current fleet view
  * @param tracker - provides the endpoints' health and records the results
  * @param suspects - is told which endpoints have ended and which still run
+ * @param departures - is told which endpoints say that they are leaving
  * @param reach - tells which services this instance is cut off from; their endpoints are not checked
  * @param pool - connections to endpoints
  * @param headerCodec - reads the responses
@@ -32,6 +34,7 @@
     view: () => FleetView,
     tracker: EndpointTracker,
     suspects: Pick<SuspectRequests, "recordEnd" | "recordAlive">,
+    departures: Pick<LeavingEndpoints, "observe">,
     reach: Pick<ReachMonitor, "isCut" | "check">,
     pool: UpstreamPool,
     headerCodec: HeaderCodec,
@@ -60,6 +63,13 @@
             return;
         }
         suspects.recordAlive(endpoint);
+        if (headerCodec.readLeaving(outcome.headers)) {
+            departures.observe(endpoint);
+        }
+        const pauseMs = headerCodec.readPauseMs(outcome.status, outcome.headers);
+        if (pauseMs !== undefined) {
+            tracker.recordHealthEvent(endpoint.id, { kind: "paused", untilMs: nowMs + pauseMs });
+        }
         if (!checkResult.isHealthy) {
             tracker.recordHealthEvent(endpoint.id, { kind: "check-failed", nowMs });
             return;
@@ -72,7 +82,8 @@
         const due = [...view().endpoints.values()].filter(endpoint => {
             const health = tracker.health(endpoint.id);
             return health.needsHealthCheck && !health.isLeaving && !endpoint.isDraining
-                && health.backoffUntilMs <= nowMs && !reach.isCut(endpoint.service);
+                && Math.max(health.backoffUntilMs, health.pausedUntilMs) <= nowMs
+                && !reach.isCut(endpoint.service);
         });
         await Promise.all(due.map(check));
     };
--- a/packages/gypsumstage-steering/src/traffic/EndpointHealth.ts
+++ b/packages/gypsumstage-steering/src/traffic/EndpointHealth.ts
@@ -2,6 +2,8 @@
 export interface EndpointHealth {
     /** End of the backoff period, during which the endpoint gets no requests. */
     readonly backoffUntilMs: number;
+    /** Until when the endpoint asked for no requests of this instance. */
+    readonly pausedUntilMs: number;
     /** Consecutive connection and health check failures; each one lengthens the backoff. */
     readonly consecutiveFailures: number;
     /** Time until which the endpoint is cold and the rate of requests to it is limited. */
--- a/packages/gypsumstage-steering/src/traffic/HealthEvent.ts
+++ b/packages/gypsumstage-steering/src/traffic/HealthEvent.ts
@@ -17,5 +17,7 @@
     | { readonly kind: "links-restored"; }
     /** The endpoint is leaving. */
     | { readonly kind: "leaving"; readonly nowMs: number; }
+    /** The endpoint turned a request away and asked for no more until the given time. */
+    | { readonly kind: "paused"; readonly untilMs: number; }
     /** The endpoint is cold until the given time. */
     | { readonly kind: "cold"; readonly untilMs: number; };
--- a/packages/gypsumstage-steering/src/traffic/updateHealth.ts
+++ b/packages/gypsumstage-steering/src/traffic/updateHealth.ts
@@ -63,6 +63,8 @@
             return { ...health, backoffUntilMs: 0, consecutiveFailures: 0 };
         case "leaving":
             return { ...health, isLeaving: true };
+        case "paused":
+            return { ...health, pausedUntilMs: Math.max(health.pausedUntilMs, event.untilMs) };
         case "cold":
             return { ...health, coldUntilMs: Math.max(health.coldUntilMs, event.untilMs) };
     }
