--- a/packages/gypsumstage-instance/src/peers/PeerExchange.ts
+++ b/packages/gypsumstage-instance/src/peers/PeerExchange.ts
@@ -1,13 +1,25 @@
+import type { DataCentreSummary } from "@gypsumstage/steering/traffic/DataCentreSummary";
+import type { MemberRecord } from "@gypsumstage/steering/traffic/MemberRecord";
 import type { PeerState } from "@gypsumstage/steering/traffic/PeerState";
 import type { TopicAnnouncement } from "@gypsumstage/steering/traffic/TopicAnnouncement";
 import type { Notice } from "../notices/Notice.js";
+import type { NoticeTopic } from "../notices/NoticeTopic.js";
+import type { MemberQuery } from "./MemberQuery.js";
 
 /** The latest reports of the other instances. */
 export interface PeerExchange {
-    /** Returns the instances whose last report is recent enough to count as live. */
+    /** Returns the instances that count as live. */
     readonly live: () => readonly PeerState[];
     /** Returns all recorded instances, live or not. */
     readonly all: () => readonly PeerState[];
+    /** Returns the live instances that send this one their full reports. */
+    readonly reporting: () => readonly PeerState[];
+    /** Summaries of the other data centres that were heard lately. */
+    readonly summaries: () => readonly DataCentreSummary[];
+    /** Records of the instances of a data centre, as this instance knows them. */
+    readonly readMembers: (query: MemberQuery) => readonly MemberRecord[];
+    /** Spreads that instances are gone or not ready. */
+    readonly membersTopic: NoticeTopic;
     /** Sends an announcement to the given instances. */
     readonly announce: (announcement: TopicAnnouncement, targets: readonly PeerState[]) => void;
     /** Sends notices to an instance, in one message. */
@@ -18,7 +30,7 @@
     readonly isSettled: () => boolean;
     /** Instances that share a fleet-wide limit: the live ones, those silent but not yet removed, and this one. */
     readonly fleetSize: () => number;
-    /** Requests in flight at an endpoint from the other instances, as last reported. */
+    /** Requests in flight at an endpoint from the instances that report to this one. */
     readonly inFlight: (endpointId: string) => number;
     /** Stops sending reports and closes the socket. */
     readonly stop: () => void;
--- /dev/null
+++ b/packages/gypsumstage-instance/src/peers/createIntroductions.ts
@@ -0,0 +1,58 @@
+import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import { chooseAtRandom } from "@gypsumstage/steering/traffic/chooseAtRandom";
+
+/** Introductions to an address that another instance named, until it counts as dead. */
+const MAX_TRIES = 10;
+/** Time between two introductions to a seed while others are known, by which parts of a fleet that was split find each other again. */
+const SEED_INTERVAL_MS = 2_000;
+
+/** Addresses to which an instance introduces itself, because it does not know who is there. */
+interface Introductions {
+    /** Adds addresses that another instance named. */
+    readonly add: (addresses: readonly string[]) => void;
+    /** Returns the addresses that are due, without the known ones. */
+    readonly next: (known: ReadonlySet<string>, isAnyLive: boolean) => readonly string[];
+    /** Returns a seed at random; undefined when there is no other instance among them. */
+    readonly firstSeed: () => string | undefined;
+}
+
+/**
+ * Creates the introductions of an instance that has just started.
+ *
+ * @param seeds - addresses of the settings
+ * @param ownAddress - address of this instance, to which none goes
+ * @returns the introductions
+ */
+export const createIntroductions = (seeds: readonly string[], ownAddress: string): Introductions => {
+    const triesLeft = new Map<string, number>();
+    const otherSeeds = seeds.filter(seed => seed !== ownAddress);
+    const firstSeed = (): string | undefined => chooseAtRandom(otherSeeds, 1, Math.random)[0];
+    let nextSeedAtMs = 0;
+    const listSeeds = (isAnyLive: boolean): readonly string[] => {
+        if (!isAnyLive) {
+            return otherSeeds;
+        }
+        const seed = monotonicNow() < nextSeedAtMs ? undefined : firstSeed();
+        return seed === undefined ? [] : [seed];
+    };
+    return {
+        add: addresses => {
+            for (const address of addresses.filter(each => each !== ownAddress && !triesLeft.has(each))) {
+                triesLeft.set(address, MAX_TRIES);
+            }
+        },
+        next: (known, isAnyLive) => {
+            const due = [...triesLeft].filter(([address, left]) => left > 0 && !known.has(address));
+            due.forEach(([address, left]) => triesLeft.set(address, left - 1));
+            [...triesLeft.keys()].filter(address => known.has(address)).forEach(address =>
+                triesLeft.delete(address)
+            );
+            const dueSeeds = listSeeds(isAnyLive);
+            if (dueSeeds.length > 0) {
+                nextSeedAtMs = monotonicNow() + SEED_INTERVAL_MS;
+            }
+            return [...new Set([...due.map(([address]) => address), ...dueSeeds])];
+        },
+        firstSeed,
+    };
+};
--- a/packages/gypsumstage-instance/src/peers/parsePeerMessage.ts
+++ b/packages/gypsumstage-instance/src/peers/parsePeerMessage.ts
@@ -5,10 +5,13 @@
 import type { PeerReport } from "@gypsumstage/steering/traffic/PeerReport";
 import type { TopicAnnouncement } from "@gypsumstage/steering/traffic/TopicAnnouncement";
 import type { Notice } from "../notices/Notice.js";
+import { isMemberRecord } from "./isMemberRecord.js";
 import type { NoticeMessage } from "./NoticeMessage.js";
 import { NOTICES_METHOD } from "./NOTICES_METHOD.js";
 import type { PeerMessage } from "./PeerMessage.js";
 import type { ReportError } from "./ReportError.js";
+import { SUMMARIES_METHOD } from "./SUMMARIES_METHOD.js";
+import type { SummaryMessage } from "./SummaryMessage.js";
 import { TOPICS_METHOD } from "./TOPICS_METHOD.js";
 
 const isReport = (params: Partial<PeerReport> | undefined): params is PeerReport =>
@@ -30,9 +33,17 @@
 const areNotices = (params: Partial<NoticeMessage> | undefined): params is NoticeMessage =>
     Array.isArray(params?.notices) && params.notices.every(isNotice);
 
+const isSummaryMessage = (params: Partial<SummaryMessage> | undefined): params is SummaryMessage =>
+    isMemberRecord(params?.sender) && Array.isArray(params.summaries)
+    && params.summaries.every(summary =>
+        typeof summary.dataCentre === "string" && typeof summary.author === "string"
+        && typeof summary.digest === "number" && typeof summary.ageMs === "number"
+        && typeof summary.demand === "object"
+    );
+
 const parseParams = (
     method: string | undefined,
-    params: Partial<PeerReport & NoticeMessage> | undefined,
+    params: Partial<PeerReport & NoticeMessage & SummaryMessage> | undefined,
 ): PeerMessage | undefined => {
     if (method === NOTICES_METHOD) {
         return areNotices(params) ? { kind: "notices", notices: params.notices } : undefined;
@@ -40,6 +51,9 @@
     if (method === TOPICS_METHOD) {
         return isAnnouncement(params) ? { kind: "announcement", announcement: params } : undefined;
     }
+    if (method === SUMMARIES_METHOD) {
+        return isSummaryMessage(params) ? { kind: "summaries", message: params } : undefined;
+    }
     return isReport(params) ? { kind: "report", report: params } : undefined;
 };
 
@@ -53,7 +67,7 @@
     try {
         const { method, params } = JSON.parse(bytes.toString("utf8")) as {
             readonly method?: string;
-            readonly params?: Partial<PeerReport & NoticeMessage>;
+            readonly params?: Partial<PeerReport & NoticeMessage & SummaryMessage>;
         };
         const message = parseParams(method, params);
         return message === undefined
--- a/packages/gypsumstage-instance/src/request/createRequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestContext.ts
@@ -1,5 +1,6 @@
 import type { Log } from "@gypsumstage/shared/Log";
 import type { FleetView } from "@gypsumstage/steering/traffic/FleetView";
+import type { PeerReport } from "@gypsumstage/steering/traffic/PeerReport";
 import type { Coordination } from "../Coordination.js";
 import type { HeaderCodec } from "../HeaderCodec.js";
 import type { InstanceConfig } from "../InstanceConfig.js";
@@ -16,7 +17,7 @@
 
 /** The running parts of an instance that its requests use. */
 interface RequestParts {
-    readonly cfg: Pick<InstanceConfig, "name" | "region">;
+    readonly cfg: Pick<InstanceConfig, "name" | "dataCentre" | "region">;
     readonly view: () => FleetView;
     readonly upstreams: Upstreams;
     readonly peers: PeerExchange;
@@ -38,6 +39,8 @@
     const { cfg, view, upstreams, peers, coordination, retryBudget, headerCodec, metrics, log } = parts;
     const getColdRate = (service: string): number =>
         view().policy?.services.find(each => each.name === service)?.coldRequestsPerSecond ?? 1;
+    const listLocalReports = (): readonly PeerReport[] =>
+        peers.reporting().map(peer => peer.report).filter(report => report.dataCentre === cfg.dataCentre);
     return {
         region: cfg.region,
         headerCodec,
@@ -68,7 +71,8 @@
         retryBudget,
         localPrimaryShare: createLocalPrimaryShares(cfg.region, view, () => [
             { region: cfg.region, demand: retryBudget.demand() },
-            ...peers.live().map(peer => peer.report),
+            ...listLocalReports(),
+            ...peers.summaries(),
         ]),
         regionShiftLimiter: parts.regionShiftLimiter,
         chooseService: createServiceChooser(),
--- a/packages/gypsumstage-instance/src/startCoordination.ts
+++ b/packages/gypsumstage-instance/src/startCoordination.ts
@@ -47,7 +47,7 @@
     const suspects = createSuspectRequests(digest => isProber(digest, ownName, listReadyNames()), log);
     const notices = startNoticeExchange(
         ownName,
-        [rateLimits.topic, departures.topic, suspects.topic],
+        [peers.membersTopic, rateLimits.topic, departures.topic, suspects.topic],
         peers,
         () => view().isComplete,
         rpc,
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -79,7 +79,7 @@
     const retryBudget = createRetryBudget(() => cfg.retry, () => peers.fleetSize());
     const regionShiftLimiter = createRegionShiftLimiter(
         () => cfg.maxRegionShift,
-        () => peers.live().map(peer => peer.report).filter(report => report.region === cfg.region),
+        () => peers.reporting().map(peer => peer.report).filter(report => report.region === cfg.region),
     );
     const createReport = (peerAddresses: readonly string[]): PeerReport => ({
         name: cfg.name,
@@ -108,7 +108,7 @@
         cutServices: reach.cutServices().length,
         suspectRequests: coordination.suspects.size(),
     }));
-    const peers = await startPeerExchange(cfg.listen.internal, cfg.seeds, createReport, metrics, log);
+    const peers = await startPeerExchange(cfg.seeds, createReport, rpc, metrics, log);
     const readyInstances = (): readonly PeerView[] => [
         ...(isReady() ? [{ ...cfg, address: cfg.listen.requests, cutServices: reach.cutServices() }] : []),
         ...peers.live().map(peer => peer.report).filter(report => report.isReady),
@@ -144,6 +144,7 @@
         readyInstances,
         permitIssuer: coordination.permitIssuer,
         readNotices: coordination.readNotices,
+        readMembers: peers.readMembers,
     });
     const stopHealthChecks = registerHealthChecks(
         fleet.view,
--- a/packages/gypsumstage-instance/src/startListeners.ts
+++ b/packages/gypsumstage-instance/src/startListeners.ts
@@ -9,6 +9,7 @@
 import { listHostServices } from "@gypsumstage/steering/traffic/listHostServices";
 import { listPermittedRegions } from "@gypsumstage/steering/traffic/listPermittedRegions";
 import { listReachingInstances } from "@gypsumstage/steering/traffic/listReachingInstances";
+import type { MemberRecord } from "@gypsumstage/steering/traffic/MemberRecord";
 import type { PeerView } from "@gypsumstage/steering/traffic/PeerView";
 import type { PermitDecision } from "@gypsumstage/steering/traffic/PermitDecision";
 import type { TopicUpdate } from "@gypsumstage/steering/traffic/TopicUpdate";
@@ -19,6 +20,8 @@
 import { registerLookupRoute } from "./lookup/registerLookupRoute.js";
 import { registerReadinessRoute } from "./lookup/registerReadinessRoute.js";
 import type { NoticeExchange } from "./notices/NoticeExchange.js";
+import type { MemberQuery } from "./peers/MemberQuery.js";
+import type { PeerExchange } from "./peers/PeerExchange.js";
 import type { TopicQuery } from "./peers/TopicQuery.js";
 import type { PermitIssuer } from "./permits/PermitIssuer.js";
 import type { PermitQuery } from "./permits/PermitQuery.js";
@@ -35,6 +38,7 @@
     readonly readyInstances: () => readonly PeerView[];
     readonly permitIssuer: PermitIssuer;
     readonly readNotices: NoticeExchange["readAll"];
+    readonly readMembers: PeerExchange["readMembers"];
 }
 
 const listenOn = (server: Server, address: string): Promise<void> => {
@@ -63,6 +67,7 @@
             return createTopicUpdate(deps.fleet.topics[topic].get(), since, areNamesNeeded, monotonicNow());
         },
         "notices.read": () => deps.readNotices(),
+        "members.read": (params): readonly MemberRecord[] => deps.readMembers(params as MemberQuery),
         "permit.issue": (params): PermitDecision => deps.permitIssuer.issue(params as PermitQuery),
     });
     const metrics = createHttpServer(listen.metrics);
--- a/packages/gypsumstage-steering/src/traffic/PeerReport.ts
+++ b/packages/gypsumstage-steering/src/traffic/PeerReport.ts
@@ -4,6 +4,13 @@
 
 /** Status report that an instance sends to the other instances, up to several times a second. */
 export interface PeerReport extends PeerView {
+    /** Generation and version of its member record; absent in reports of builds that know no membership. */
+    readonly generation?: number;
+    readonly version?: number;
+    /** True when the receiver is one of the contacts that are to notice when these reports stop. */
+    readonly isToContact?: boolean;
+    /** True when the sender wants a report in return, because it does not know whether the receiver lives. */
+    readonly isReplyWanted?: boolean;
     /** Random id of this run of the process; it changes with each restart. */
     readonly incarnation: string;
     /** `IP:port` on which it serves requests of other instances. */
@@ -21,6 +28,6 @@
     readonly demand: Readonly<Record<string, number>>;
     /** Requests that it has placed since its start, by region. */
     readonly placed: Readonly<Record<string, number>>;
-    /** Internal addresses of some of the instances from which it receives reports; other ones in each report. */
+    /** Internal addresses of some of the other instances, for builds that know no membership; other ones in each report. */
     readonly peers: readonly string[];
 }
