Believe refusals and ends of responses only where they surely belong to the request

What callers saw, in reports of other operators and in tests of ours: (1) 'not run, try again' for a request that an endpoint was running, because the endpoint wrote an earlier refusal once more on a kept connection; (2) a response that only the end of the connection ends and that was cut by an orderly close, passed on with a length of its own, as if it were whole.

Cause, of one class: a fact about a response was inferred from the connection. (1) A connection was used again after a refusal, so its copy was taken for the response to the next request, when it bore that request's id (a caller that repeats an id) or none. (2) The body of a response without a length was taken to be whole when the connection closed without a reset.

Change: (1) no connection is used again after 408, 421, 429 or 503, so there is no earlier refusal to repeat; a refusal without an id is believed only as the first response on its connection. (2) an outcome says whether the end of the body was stated; a reply without a stated end has neither length nor chunks and ends with the caller's connection, as it did at the endpoint. Between instances the whole body has a length, and a header field says that the endpoint stated none.

Ruled out: telling a copy from a quick refusal by its time; refusing responses without a length, which are proper HTTP. Costs a new connection for each refusal of an endpoint.

--- a/packages/gypsumstage-instance/src/HeaderCodec.ts
+++ b/packages/gypsumstage-instance/src/HeaderCodec.ts
@@ -21,7 +21,7 @@
         status: number,
         headers: IncomingHttpHeaders,
         requestId: string | undefined,
-    ) => ResponseFacts;
+    ) => Omit<ResponseFacts, "isFirstOnConnection">;
     /**
      * Reads the rate limit that an endpoint states in a response: requests per second from all instances together;
      * undefined when the header is absent or malformed.
--- a/packages/gypsumstage-instance/src/__tests__/unit/createAttemptSet.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createAttemptSet.test.ts
@@ -57,7 +57,14 @@
     const { ctx, req } = context;
     context.setEndpoints([FIRST]);
     const respond = async (status: number, headers: Readonly<Record<string, string>>): Promise<void> => {
-        context.setOutcome({ kind: "answered", status, headers, body: Buffer.alloc(0) });
+        context.setOutcome({
+            kind: "answered",
+            status,
+            headers,
+            body: Buffer.alloc(0),
+            isEndStated: true,
+            isFirstOnConnection: true,
+        });
         await startAttempt(ctx, req, FIRST, "17", monotonicNow() + TIMEOUT_MS, TIMEOUT_MS).finished;
     };
     await respond(503, { limit: "3" });
--- a/packages/gypsumstage-instance/src/__tests__/unit/relays.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/relays.test.ts
@@ -14,7 +14,7 @@
 
 const BODY = Buffer.from("body");
 const REPLIES: readonly Reply[] = [
-    { kind: "relayed", status: 500, headers: { "response-stamp": "s" }, body: BODY },
+    { kind: "relayed", status: 500, headers: { "response-stamp": "s" }, body: BODY, isEndStated: true },
     { kind: "refused", reason: "no-room", retryAfterMs: 340 },
     { kind: "failed", reason: "deadline", isTimeout: true },
     { kind: "failed", reason: "ECONNRESET: läuft nicht", isTimeout: false },
@@ -28,7 +28,14 @@
         ? 504
         : 502;
     const headers = reply.kind === "relayed" ? reply.headers : {};
-    return { kind: "answered", status, headers: { ...headers, ...toRelayHeaders(reply) }, body: BODY };
+    return {
+        kind: "answered",
+        status,
+        headers: { ...headers, ...toRelayHeaders(reply) },
+        body: BODY,
+        isEndStated: true,
+        isFirstOnConnection: true,
+    };
 };
 
 test("a reply is the same after it was passed back by another instance", () => {
@@ -43,7 +50,17 @@
     assert.equal(classify({ kind: "not-sent", reason: "r", isPortClosed: true }), "not-run");
     assert.equal(classify({ kind: "broken", reason: "r" }), "unknown");
     assert.equal(classify({ kind: "aborted", wasSent: true }), "unknown");
-    assert.equal(classify({ kind: "answered", status: 503, headers: {}, body: BODY }), "unknown");
+    assert.equal(
+        classify({
+            kind: "answered",
+            status: 503,
+            headers: {},
+            body: BODY,
+            isEndStated: true,
+            isFirstOnConnection: true,
+        }),
+        "unknown",
+    );
     const refused = classifyRelayOutcome(
         toOutcome({ kind: "refused", reason: "no-endpoint", retryAfterMs: 1 }),
     );
--- a/packages/gypsumstage-instance/src/relay/RELAY_HEADERS.ts
+++ b/packages/gypsumstage-instance/src/relay/RELAY_HEADERS.ts
@@ -8,6 +8,8 @@
     attemptsLeft: "gypsumstage-attempts-left",
     /** In responses: the kind of the reply. */
     replyKind: "gypsumstage-reply",
+    /** In responses of endpoints: 0 when only the end of the endpoint's connection ended the body. */
+    isEndStated: "gypsumstage-end-stated",
     /** In responses: the reason of a reply that is not an endpoint's response. */
     reason: "gypsumstage-reason",
     /** In responses that refuse the request: when it may be sent again, in milliseconds. */
--- a/packages/gypsumstage-instance/src/relay/readRelayReply.ts
+++ b/packages/gypsumstage-instance/src/relay/readRelayReply.ts
@@ -24,7 +24,8 @@
             const endpointHeaders = Object.fromEntries(
                 Object.entries(headers).filter(([name]) => !own.has(name)),
             );
-            return { kind: "relayed", status, headers: endpointHeaders, body };
+            const isEndStated = outcome.isEndStated && headers[RELAY_HEADERS.isEndStated] !== "0";
+            return { kind: "relayed", status, headers: endpointHeaders, body, isEndStated };
         }
         case "refused":
             return {
--- a/packages/gypsumstage-instance/src/relay/toRelayHeaders.ts
+++ b/packages/gypsumstage-instance/src/relay/toRelayHeaders.ts
@@ -12,5 +12,6 @@
 export const toRelayHeaders = (reply: Reply): Readonly<Record<string, string>> => ({
     [RELAY_HEADERS.replyKind]: reply.kind,
     ...("reason" in reply ? { [RELAY_HEADERS.reason]: toHeaderText(reply.reason) } : {}),
+    ...(reply.kind === "relayed" && !reply.isEndStated ? { [RELAY_HEADERS.isEndStated]: "0" } : {}),
     ...(reply.kind === "refused" ? { [RELAY_HEADERS.retryAfterMs]: String(reply.retryAfterMs) } : {}),
 });
--- a/packages/gypsumstage-instance/src/request/createRequestHandler.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestHandler.ts
@@ -51,6 +51,10 @@
     return policyVersion < relayed.policyVersion ? "policy-behind" : undefined;
 };
 
+/** Returns the reply with its length stated, as the whole body is there. */
+const toFramedReply = (reply: Reply): Reply =>
+    reply.kind === "relayed" ? { ...reply, isEndStated: true } : reply;
+
 /** Returns the route with no more attempts than the instance that passed the request on has left. */
 const limitAttempts = (route: Route, relayed: RelayedRequest | undefined): Route =>
     relayed === undefined
@@ -196,8 +200,13 @@
         }
         if (!isDisconnected) {
             const isUnread = !req.complete || headFault !== undefined;
-            const extraHeaders = sender === "instance" ? toRelayHeaders(reply) : {};
-            writeReply(res, reply, phase() !== "serving" || isUnread, extraHeaders);
+            const isClosing = phase() !== "serving" || isUnread;
+            if (sender === "caller") {
+                writeReply(res, reply, isClosing);
+            }
+            else {
+                writeReply(res, toFramedReply(reply), isClosing, toRelayHeaders(reply));
+            }
         }
     };
 };
--- a/packages/gypsumstage-instance/src/request/createServeEventHandler.ts
+++ b/packages/gypsumstage-instance/src/request/createServeEventHandler.ts
@@ -15,9 +15,11 @@
 
 const toReply = (attempt: FinishedAttempt): Reply => {
     const { outcome } = attempt;
-    return outcome.kind === "answered"
-        ? { kind: "relayed", status: outcome.status, headers: outcome.headers, body: outcome.body }
-        : { kind: "failed", reason: "no-answer", isTimeout: false };
+    if (outcome.kind !== "answered") {
+        return { kind: "failed", reason: "no-answer", isTimeout: false };
+    }
+    const { status, headers, body, isEndStated } = outcome;
+    return { kind: "relayed", status, headers, body, isEndStated };
 };
 
 /**
--- a/packages/gypsumstage-instance/src/request/startAttempt.ts
+++ b/packages/gypsumstage-instance/src/request/startAttempt.ts
@@ -16,7 +16,10 @@
 ): AttemptClassification => {
     switch (outcome.kind) {
         case "answered":
-            return classifyResponse(ctx.headerCodec.readResponse(outcome.status, outcome.headers, req.id));
+            return classifyResponse({
+                ...ctx.headerCodec.readResponse(outcome.status, outcome.headers, req.id),
+                isFirstOnConnection: outcome.isFirstOnConnection,
+            });
         case "not-sent":
             return { kind: "not-run", reason: outcome.reason };
         case "broken":
--- a/packages/gypsumstage-instance/src/request/writeReply.ts
+++ b/packages/gypsumstage-instance/src/request/writeReply.ts
@@ -1,16 +1,21 @@
 import { dropHopByHopHeaders } from "@gypsumstage/shared/dropHopByHopHeaders";
 import type { OutgoingHttpHeaders, ServerResponse } from "node:http";
+import { hasNoBody } from "../hasNoBody.js";
 import type { Reply } from "./Reply.js";
 
 const STATUS_REFUSED = 503;
 const STATUS_FAILED = 502;
 const STATUS_TIMEOUT = 504;
-const STATUS_NO_CONTENT = 204;
-const STATUS_NOT_MODIFIED = 304;
 const MS_PER_SECOND = 1_000;
 
-const hasNoBody = (method: string | undefined, status: number): boolean =>
-    method === "HEAD" || status === STATUS_NO_CONTENT || status === STATUS_NOT_MODIFIED;
+/**
+ * Lets only the end of the connection end the body, as at the endpoint: the caller is not told of a length that the endpoint did
+ * not state.
+ */
+const endWithConnection = (res: ServerResponse): void => {
+    res.useChunkedEncodingByDefault = false;
+    res.shouldKeepAlive = false;
+};
 
 const writeError = (
     res: ServerResponse,
@@ -45,7 +50,10 @@
     switch (reply.kind) {
         case "relayed": {
             const headers = { ...dropHopByHopHeaders(reply.headers) } as OutgoingHttpHeaders;
-            if (!hasNoBody(res.req.method, reply.status)) {
+            if (!reply.isEndStated) {
+                endWithConnection(res);
+            }
+            else if (!hasNoBody(res.req.method, reply.status)) {
                 headers["content-length"] = reply.body.length;
             }
             res.writeHead(reply.status, { ...headers, ...added });
--- a/packages/gypsumstage-instance/src/upstream/ResponseCollector.ts
+++ b/packages/gypsumstage-instance/src/upstream/ResponseCollector.ts
@@ -7,8 +7,8 @@
     readonly addHead: (status: number, headers: IncomingHttpHeaders) => void;
     /** Takes the next piece of the body. */
     readonly addPiece: (piece: Buffer) => void;
-    /** Returns the collected response. */
-    readonly finish: () => AttemptOutcome;
+    /** Returns the collected response to a request with the given method. */
+    readonly finish: (method: string) => AttemptOutcome;
     /** Frees the reserved memory. */
     readonly close: () => void;
 }
--- a/packages/gypsumstage-instance/src/upstream/UpstreamConnection.ts
+++ b/packages/gypsumstage-instance/src/upstream/UpstreamConnection.ts
@@ -3,6 +3,8 @@
 /** A connection to an endpoint that carries one request at a time. */
 export interface UpstreamConnection {
     readonly client: Client;
+    /** Returns whether no response was received yet, and counts the next one. */
+    readonly takeIsFirst: () => boolean;
     /** True once the connection failed or was reset instead of being closed properly. */
     readonly isBroken: () => boolean;
     /** Bytes received so far, headers and framing included; 0 before the connection is open. */
--- a/packages/gypsumstage-instance/src/upstream/createResponseCollector.ts
+++ b/packages/gypsumstage-instance/src/upstream/createResponseCollector.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from "node:http";
+import { hasNoBody } from "../hasNoBody.js";
 import type { ResponseCollector } from "./ResponseCollector.js";
 import type { ResponseMemory } from "./ResponseMemory.js";
 import type { UpstreamConnection } from "./UpstreamConnection.js";
@@ -16,6 +17,10 @@
 /** Bytes on the connection allowed for each byte of a body; a chunk of one byte takes up 6. */
 const MAX_FRAMING_FACTOR = 6;
 
+const isEndStated = (method: string, status: number, headers: IncomingHttpHeaders): boolean =>
+    headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined
+    || hasNoBody(method, status);
+
 /**
  * Creates the collector of the next response on a connection. An endpoint may send a head or a body without end, so both
  * are limited. The bytes on the connection are counted too, because the client library (undici) neither reports nor limits
@@ -59,7 +64,14 @@
             pieces.push(piece);
             reservation.grow(piece.length + PIECE_OVERHEAD_BYTES);
         },
-        finish: () => ({ kind: "answered", status, headers, body: Buffer.concat(pieces) }),
+        finish: method => ({
+            kind: "answered",
+            status,
+            headers,
+            body: Buffer.concat(pieces),
+            isEndStated: isEndStated(method, status, headers),
+            isFirstOnConnection: connection.takeIsFirst(),
+        }),
         close: () => {
             connection.setReceiveListener(() => undefined);
             reservation.close();
--- a/packages/gypsumstage-instance/src/upstream/createUpstreamPool.ts
+++ b/packages/gypsumstage-instance/src/upstream/createUpstreamPool.ts
@@ -1,3 +1,4 @@
+import { NOT_RUN_STATUSES } from "@gypsumstage/steering/traffic/NOT_RUN_STATUSES";
 import { openConnection } from "./openConnection.js";
 import type { ResponseMemory } from "./ResponseMemory.js";
 import { sendRequest } from "./sendRequest.js";
@@ -7,7 +8,7 @@
 
 /**
  * Creates a pool of connections to endpoints. The most recently used connection is reused first, so that the
- * others reach their idle timeout and close. A connection is reused only after a complete response.
+ * others reach their idle timeout and close. A connection is reused only after a complete response that was no refusal.
  *
  * @param connector - opens the connections
  * @param memory - memory that the responses being received share
@@ -47,7 +48,8 @@
             const connection = acquire(address);
             const attempt = sendRequest(connection, req, memory);
             void attempt.outcome.then(outcome => {
-                if (outcome.kind === "answered") {
+                // A faulty endpoint may write a refusal again, which would be taken for the response to the next request.
+                if (outcome.kind === "answered" && !NOT_RUN_STATUSES.includes(outcome.status)) {
                     release(address, connection);
                 }
                 else {
--- a/packages/gypsumstage-instance/src/upstream/openConnection.ts
+++ b/packages/gypsumstage-instance/src/upstream/openConnection.ts
@@ -20,6 +20,7 @@
  */
 export const openConnection = (address: string, connector: UpstreamConnector): UpstreamConnection => {
     let isBroken = false;
+    let isFirst = true;
     let socket: Socket | undefined;
     let onReceive = (): void => undefined;
     const client = new Client(`http://${address}`, {
@@ -43,6 +44,11 @@
     });
     return {
         client,
+        takeIsFirst: () => {
+            const wasFirst = isFirst;
+            isFirst = false;
+            return wasFirst;
+        },
         isBroken: () => isBroken,
         receivedBytes: () => socket?.bytesRead ?? 0,
         setReceiveListener: next => {
--- a/packages/gypsumstage-instance/src/upstream/sendRequest.ts
+++ b/packages/gypsumstage-instance/src/upstream/sendRequest.ts
@@ -52,7 +52,7 @@
             settle(
                 connection.isBroken()
                     ? { kind: "broken", reason: "reset-in-answer" }
-                    : collector.finish(),
+                    : collector.finish(req.method),
             ),
         onResponseError: (_controller, err) => {
             const reason = describeError(err);
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/classifyResponse.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/classifyResponse.test.ts
@@ -6,6 +6,7 @@
 const validResponse: ResponseFacts = {
     status: 200,
     requestMatch: "this",
+    isFirstOnConnection: false,
     isStamped: true,
     isDeclaredNotRun: false,
     isAddressReassigned: false,
@@ -31,8 +32,13 @@
         );
     }
     assert.equal(
-        classifyResponse({ ...validResponse, status: 421, isAddressReassigned: true, requestMatch: "none" })
-            .kind,
+        classifyResponse({
+            ...validResponse,
+            status: 421,
+            isAddressReassigned: true,
+            requestMatch: "none",
+            isFirstOnConnection: true,
+        }).kind,
         "not-run",
     );
 });
@@ -51,3 +57,13 @@
     assert.equal(classifyResponse({ ...validResponse, isEncoded: true }).kind, "unknown");
     assert.equal(classifyResponse({ ...validResponse, requestMatch: "none" }).kind, "unknown");
 });
+
+test("a refusal without an id is believed only as the first response on its connection", () => {
+    for (
+        const refusal of [{ status: 503, isDeclaredNotRun: true }, { status: 421, isAddressReassigned: true }]
+    ) {
+        const facts: ResponseFacts = { ...validResponse, ...refusal, requestMatch: "none" };
+        assert.equal(classifyResponse(facts).kind, "unknown");
+        assert.equal(classifyResponse({ ...facts, isFirstOnConnection: true }).kind, "not-run");
+    }
+});
--- a/packages/gypsumstage-steering/src/traffic/ResponseFacts.ts
+++ b/packages/gypsumstage-steering/src/traffic/ResponseFacts.ts
@@ -3,6 +3,11 @@
     readonly status: number;
     /** Whether the response carries the id of this request, of another one, or no id. */
     readonly requestMatch: "this" | "other" | "none";
+    /**
+     * True when the connection carried no response before, so that one without an id can't be a copy of the response to an earlier
+     * request.
+     */
+    readonly isFirstOnConnection: boolean;
     /** True when the response carries the stamp that endpoints put on their responses. */
     readonly isStamped: boolean;
     /** True when the endpoint states that it did not run the request. */
--- a/packages/gypsumstage-steering/src/traffic/classifyResponse.ts
+++ b/packages/gypsumstage-steering/src/traffic/classifyResponse.ts
@@ -1,8 +1,7 @@
 import type { AttemptClassification } from "./AttemptClassification.js";
+import { NOT_RUN_STATUSES } from "./NOT_RUN_STATUSES.js";
 import type { ResponseFacts } from "./ResponseFacts.js";
 
-/** Statuses that callers interpret as a promise that the request has not run. */
-const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
 const STATUS_INTERNAL_SERVER_ERROR = 500;
 const STATUS_OK = 200;
 const STATUS_MULTIPLE_CHOICES = 300;
@@ -10,7 +9,7 @@
 /**
  * Classifies an endpoint's complete response. A response is final only when it carries the id of the request and, if
  * it is a success, the endpoint's stamp. The request counts as not run only when the endpoint states so explicitly or
- * another endpoint has its address; a status alone is not sufficient.
+ * another endpoint has its address; a status alone is not sufficient, nor is a statement that may belong to an earlier request.
  *
  * @param facts - properties of the response
  * @returns the classification of the attempt
@@ -19,6 +18,10 @@
     if (facts.requestMatch === "other") {
         return { kind: "unknown", reason: "answer-of-other-request" };
     }
+    const isOfRequest = facts.requestMatch === "this" || facts.isFirstOnConnection;
+    if ((facts.isAddressReassigned || facts.isDeclaredNotRun) && !isOfRequest) {
+        return { kind: "unknown", reason: "refusal-names-no-request" };
+    }
     if (facts.isAddressReassigned) {
         return { kind: "not-run", reason: "other-endpoint" };
     }
