Answer every request of an instance that stops, and take none that may not end

What callers saw: in a planned stop, requests that came late in the grace period were passed on and cut with no answer at its end, among them some that may not be repeated.

Cause: a stopping instance served any new request for up to 3 s, however long it would last, and cut what was in flight 250 ms before the end.

Ruled out: passing late requests on through another instance (this one would still hold the connection at its end); refusing all from the signal on (callers use an earlier look-up for seconds).

--- a/packages/gypsumstage-instance/src/__tests__/unit/createTestContext.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createTestContext.ts
@@ -1,6 +1,7 @@
 import type { Route } from "@gypsumstage/domain/traffic/Route";
 import type { UpstreamEndpoint } from "@gypsumstage/domain/traffic/UpstreamEndpoint";
 import { EMPTY_FLEET_VIEW } from "@gypsumstage/steering/traffic/EMPTY_FLEET_VIEW";
+import { createStopSchedule } from "../../createStopSchedule.js";
 import type { CallerRequest } from "../../request/CallerRequest.js";
 import { createRequestFingerprint } from "../../request/createRequestFingerprint.js";
 import type { RequestContext } from "../../request/RequestContext.js";
@@ -85,6 +86,7 @@
         retryBudget: { tryTake: () => true },
         localPrimaryShare: () => 1,
         regionShiftLimiter: { allows: () => true, recordPlacement: () => undefined },
+        stopSchedule: createStopSchedule(),
         metrics: {
             recordWait: () => undefined,
             recordAttempt: () => undefined,
--- a/packages/gypsumstage-instance/src/request/RequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/RequestContext.ts
@@ -6,6 +6,7 @@
 import type { RequestPermits } from "../permits/RequestPermits.js";
 import type { ReachMonitor } from "../reach/ReachMonitor.js";
 import type { Relays } from "../relay/Relays.js";
+import type { StopSchedule } from "../StopSchedule.js";
 import type { SuspectRequests } from "../suspects/SuspectRequests.js";
 import type { ColdRateLimiter } from "../upstream/ColdRateLimiter.js";
 import type { EndpointRateLimits } from "../upstream/EndpointRateLimits.js";
@@ -37,6 +38,8 @@
     readonly chooseService: ServiceChooser;
     readonly localPrimaryShare: LocalPrimaryShares;
     readonly regionShiftLimiter: RegionShiftLimiter;
+    /** When the requests have to end, once the instance stops. */
+    readonly stopSchedule: StopSchedule;
     readonly metrics: InstanceMetrics;
     readonly log: Log;
 }
--- a/packages/gypsumstage-instance/src/request/ServeEvent.ts
+++ b/packages/gypsumstage-instance/src/request/ServeEvent.ts
@@ -5,4 +5,6 @@
     | { readonly kind: "finished"; readonly attempt: FinishedAttempt; }
     | { readonly kind: "hedge-due"; }
     | { readonly kind: "deadline"; }
-    | { readonly kind: "caller-gone"; };
+    | { readonly kind: "caller-gone"; }
+    /** The instance stops, and is about to be killed. */
+    | { readonly kind: "stopping"; };
--- a/packages/gypsumstage-instance/src/request/createRequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestContext.ts
@@ -7,6 +7,7 @@
 import type { InstanceMetrics } from "../InstanceMetrics.js";
 import type { PeerExchange } from "../peers/PeerExchange.js";
 import { createRelays } from "../relay/createRelays.js";
+import type { StopSchedule } from "../StopSchedule.js";
 import { createColdRateLimiter } from "../upstream/createColdRateLimiter.js";
 import type { Upstreams } from "../upstream/Upstreams.js";
 import { createLocalPrimaryShares } from "./createLocalPrimaryShares.js";
@@ -24,6 +25,7 @@
     readonly coordination: Coordination;
     readonly retryBudget: RetryBudget;
     readonly regionShiftLimiter: RegionShiftLimiter;
+    readonly stopSchedule: StopSchedule;
     readonly headerCodec: HeaderCodec;
     readonly metrics: InstanceMetrics;
     readonly log: Log;
@@ -75,6 +77,7 @@
             ...peers.summaries(),
         ]),
         regionShiftLimiter: parts.regionShiftLimiter,
+        stopSchedule: parts.stopSchedule,
         chooseService: createServiceChooser(),
         metrics,
         log,
--- a/packages/gypsumstage-instance/src/request/createRequestHandler.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestHandler.ts
@@ -26,7 +26,7 @@
 const STATUS_TOO_LARGE = 413;
 const STATUS_HEADERS_TOO_LARGE = 431;
 const STARTING_RETRY_AFTER_MS = 500;
-const LEAVING_RETRY_AFTER_MS = 50;
+const LEAVING_REPLY: Reply = { kind: "refused", reason: "leaving", retryAfterMs: 50 };
 /** Maximum body size while no configuration has been received. */
 const DEFAULT_MAX_BODY_BYTES = 1_048_576;
 const RELAY_REFUSED_RETRY_AFTER_MS = 200;
@@ -124,10 +124,15 @@
     const validateAndServe = async (
         req: IncomingMessage,
         callerDisconnect: Promise<void>,
+        stopping: Promise<undefined>,
         arrivedAtMs: number,
     ): Promise<LabelledReply> => {
         const limits = ctx.view().policy?.limits;
-        const outcome = await readWholeBody(req, limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES);
+        const maxBytes = limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
+        const outcome = await Promise.race([readWholeBody(req, maxBytes), stopping]);
+        if (outcome === undefined) {
+            return withUnknownLabels(LEAVING_REPLY);
+        }
         if (outcome.kind === "broken-off") {
             return withUnknownLabels({ kind: "abandoned" });
         }
@@ -146,11 +151,7 @@
             });
         }
         if (phase() === "refusing") {
-            return withUnknownLabels({
-                kind: "refused",
-                reason: "leaving",
-                retryAfterMs: LEAVING_RETRY_AFTER_MS,
-            });
+            return withUnknownLabels(LEAVING_REPLY);
         }
         if (countHeaderBytes(req) > limits.maxHeaderBytes) {
             return withUnknownLabels({
@@ -172,14 +173,19 @@
         });
         // After a delay of the event loop, the caller's close may already be there behind its request.
         await waitForNextPoll();
+        let unregisterStop = (): void => undefined;
+        const stopping = new Promise<undefined>(resolve => {
+            unregisterStop = ctx.stopSchedule.registerEndListener(() => resolve(undefined));
+        });
         const headFault = findHeadFault(req);
         const handle = (): Promise<LabelledReply> | LabelledReply =>
             headFault === undefined
-                ? validateAndServe(req, callerDisconnect, arrivedAtMs)
+                ? validateAndServe(req, callerDisconnect, stopping, arrivedAtMs)
                 : withUnknownLabels({ kind: "rejected", reason: headFault, status: STATUS_BAD_REQUEST });
         const { reply, labels } = isDisconnected
             ? withUnknownLabels({ kind: "abandoned" })
             : await handle();
+        unregisterStop();
         const tookMs = monotonicNow() - arrivedAtMs;
         if (sender === "caller") {
             ctx.metrics.recordReply(reply, labels, tookMs);
--- a/packages/gypsumstage-instance/src/request/createServeEventHandler.ts
+++ b/packages/gypsumstage-instance/src/request/createServeEventHandler.ts
@@ -106,6 +106,8 @@
             case "caller-gone":
                 attempts.abort();
                 return { kind: "abandoned" };
+            case "stopping":
+                return endWithoutResponse("instance-stopping", false);
             case "deadline":
                 return endWithoutResponse("deadline", true);
             case "hedge-due":
--- a/packages/gypsumstage-instance/src/request/serveRequest.ts
+++ b/packages/gypsumstage-instance/src/request/serveRequest.ts
@@ -1,5 +1,6 @@
 import type { Route } from "@gypsumstage/domain/traffic/Route";
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import { endsBefore } from "@gypsumstage/steering/traffic/endsBefore";
 import type { CallerRequest } from "./CallerRequest.js";
 import { createAttemptSet } from "./createAttemptSet.js";
 import { createServeEventHandler } from "./createServeEventHandler.js";
@@ -20,6 +21,8 @@
 const HEDGE_TARGET_SHARE = 0.8;
 const HEDGE_TYPICAL_FACTOR = 3;
 const NO_ENDPOINT_RETRY_AFTER_MS = 500;
+/** Other instances serve at once. */
+const LEAVING_RETRY_AFTER_MS = 50;
 
 /**
  * Serves a request: chooses a service and an endpoint, sends the request, retries or hedges it where that is
@@ -54,6 +57,15 @@
     }
     const timeoutAtMs = req.arrivedAtMs + route.timeoutMs;
     const deadlineAtMs = Math.min(timeoutAtMs, req.callerDeadlineAtMs ?? timeoutAtMs);
+    const answerAtMs = ctx.stopSchedule.answerAtMs();
+    const slowestMs = ctx.tracker.slowestMs(service);
+    const latestAnswerAtMs = deadlineAtMs + LATE_RESPONSE_GRACE_MS;
+    if (answerAtMs !== undefined && !endsBefore(monotonicNow(), latestAnswerAtMs, slowestMs, answerAtMs)) {
+        return {
+            reply: { kind: "refused", reason: "leaving", retryAfterMs: LEAVING_RETRY_AFTER_MS },
+            labels,
+        };
+    }
     const attempts = createAttemptSet(ctx, req, route, service, key, deadlineAtMs);
     void callerDisconnect.then(attempts.abort);
     const first = await attempts.startNext();
@@ -70,10 +82,14 @@
         HEDGE_TYPICAL_FACTOR * typicalMs,
     );
     const hedgeTimer = createTimer<ServeEvent>(hedgeAfterMs, { kind: "hedge-due" });
-    const deadlineTimer = createTimer<ServeEvent>(deadlineAtMs + LATE_RESPONSE_GRACE_MS - monotonicNow(), {
+    const deadlineTimer = createTimer<ServeEvent>(latestAnswerAtMs - monotonicNow(), {
         kind: "deadline",
     });
     const disconnect = callerDisconnect.then((): ServeEvent => ({ kind: "caller-gone" }));
+    let unregisterStop = (): void => undefined;
+    const stopping = new Promise<ServeEvent>(resolve => {
+        unregisterStop = ctx.stopSchedule.registerEndListener(() => resolve({ kind: "stopping" }));
+    });
     const handleEvent = createServeEventHandler(attempts, route, service, deadlineAtMs, ctx.retryBudget);
     let isHedgePending = route.kind === "safe";
     const nextEvent = (): Promise<ServeEvent> =>
@@ -83,6 +99,7 @@
             ),
             ...(isHedgePending ? [hedgeTimer.fired] : []),
             deadlineTimer.fired,
+            stopping,
             disconnect,
         ]);
     try {
@@ -96,6 +113,7 @@
         return { reply, labels };
     }
     finally {
+        unregisterStop();
         hedgeTimer.cancel();
         deadlineTimer.cancel();
     }
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -8,6 +8,7 @@
 import type { PeerView } from "@gypsumstage/steering/traffic/PeerView";
 import { createInstanceMetrics } from "./createInstanceMetrics.js";
 import { createRequestServers } from "./createRequestServers.js";
+import { createStopSchedule } from "./createStopSchedule.js";
 import { findColdPeriods } from "./findColdPeriods.js";
 import type { Instance } from "./Instance.js";
 import type { InstanceConfig } from "./InstanceConfig.js";
@@ -122,6 +123,7 @@
         metrics,
         log,
     );
+    const stopSchedule = createStopSchedule();
     const ctx = createRequestContext({
         cfg,
         view: fleet.view,
@@ -130,6 +132,7 @@
         coordination,
         retryBudget,
         regionShiftLimiter,
+        stopSchedule,
         headerCodec: platform.headerCodec,
         metrics,
         log,
@@ -171,13 +174,14 @@
         const setPhase = (next: InstancePhase): void => {
             phase = next;
         };
-        const requestsCut = await shutDownGracefully(
+        const { answeredEarly, cut } = await shutDownGracefully(
             servers.callers,
             cfg.gracePeriodMs,
             setPhase,
+            stopSchedule,
             servers.inFlight,
         );
-        log("info", "left", { requestsCut });
+        log("info", "left", { requestsAnsweredEarly: answeredEarly, requestsCut: cut });
         stopHealthChecks();
         followedTopics.stop();
         peers.stop();
--- a/packages/gypsumstage-instance/src/upstream/EndpointTracker.ts
+++ b/packages/gypsumstage-instance/src/upstream/EndpointTracker.ts
@@ -19,7 +19,9 @@
      * route's target, and measurements change it from then on.
      */
     readonly typicalMs: (service: string, targetLatencyMs: number) => number;
-    /** Updates the typical latency of the service; ignored before the first call of `typicalMs` for it. */
+    /** Latency of the service's slowest request of the last minute or less, in milliseconds; undefined when none was measured. */
+    readonly slowestMs: (service: string) => number | undefined;
+    /** Updates the latencies of the service; the typical one only after the first call of `typicalMs` for it. */
     readonly recordLatency: (service: string, latencyMs: number) => void;
     /** Evicts what was observed of an endpoint, because it started again under the same id. */
     readonly forget: (id: string) => void;
--- a/packages/gypsumstage-instance/src/upstream/createEndpointTracker.ts
+++ b/packages/gypsumstage-instance/src/upstream/createEndpointTracker.ts
@@ -1,7 +1,9 @@
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import type { EndpointHealth } from "@gypsumstage/steering/traffic/EndpointHealth";
 import { INITIAL_HEALTH } from "@gypsumstage/steering/traffic/INITIAL_HEALTH";
+import type { LatencyPeaks } from "@gypsumstage/steering/traffic/LatencyPeaks";
 import { updateHealth } from "@gypsumstage/steering/traffic/updateHealth";
+import { updateLatencyPeaks } from "@gypsumstage/steering/traffic/updateLatencyPeaks";
 import { updateTypicalLatency } from "@gypsumstage/steering/traffic/updateTypicalLatency";
 import type { EndpointTracker } from "./EndpointTracker.js";
 
@@ -20,6 +22,7 @@
     const inFlight = new Map<string, number>();
     const warmObjects = new Map<string, Map<string, number>>();
     const typicalByService = new Map<string, number>();
+    const peaksByService = new Map<string, LatencyPeaks>();
     const markWarm = (id: string, objectKey: string): void => {
         const objects = warmObjects.get(id) ?? new Map<string, number>();
         objects.set(objectKey, monotonicNow());
@@ -62,7 +65,15 @@
             typicalByService.set(service, currentMs);
             return currentMs;
         },
+        slowestMs: service => {
+            const peaks = peaksByService.get(service);
+            return peaks === undefined ? undefined : Math.max(peaks.currentMs, peaks.previousMs);
+        },
         recordLatency: (service, latencyMs) => {
+            peaksByService.set(
+                service,
+                updateLatencyPeaks(peaksByService.get(service), latencyMs, monotonicNow()),
+            );
             const currentMs = typicalByService.get(service);
             if (currentMs !== undefined) {
                 typicalByService.set(service, updateTypicalLatency(currentMs, latencyMs));
