--- a/packages/gypsumstage-instance/src/__tests__/integration/peerExchange.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/integration/peerExchange.test.ts
@@ -95,3 +95,54 @@
         await sleep(50);
     }
 });
+
+/** A report as the build before membership sends it. */
+const STORED_REPORT = {
+    jsonrpc: "2.0",
+    method: "peer.report",
+    params: {
+        name: "old-1",
+        dataCentre: "bharuch-a",
+        region: "bharuch",
+        address: "10.0.0.9:8548",
+        incarnation: "5f0c",
+        relayAddress: "10.0.0.9:7541",
+        isReady: true,
+        topics: { policy: { era: 0, revision: 12, count: 1, digest: 77 } },
+        inFlight: { "i-7f": 3 },
+        demand: { desk: 40 },
+        placed: { bharuch: 200 },
+        peers: [],
+    },
+};
+/** Reports that show that this instance goes on reporting to one of the build before. */
+const MIN_REPORTS = 12;
+
+test("instances of the build before and of this one know each other by the reports of that build", {
+    timeout: TEST_TIMEOUT_MS,
+}, async () => {
+    const ports = await Promise.all([findFreePort(), findFreePort()]);
+    const [ownAddress = "", oldAddress = ""] = ports.map(port => `127.0.0.1:${port}`);
+    const exchange = await startExchange("n-new", ownAddress, [oldAddress]);
+    const old = createSocket("udp4");
+    const received: { readonly method: string; readonly params: PeerReport; }[] = [];
+    old.on("message", bytes => received.push(JSON.parse(bytes.toString()) as typeof received[number]));
+    await new Promise<void>(resolve => old.bind(ports[1], "127.0.0.1", resolve));
+    const params = { ...STORED_REPORT.params, internalAddress: oldAddress };
+    const timer = setInterval(
+        () => old.send(JSON.stringify({ ...STORED_REPORT, params }), ports[0] ?? 0, "127.0.0.1"),
+        100,
+    );
+    while (received.length < MIN_REPORTS || exchange.inFlight("i-7f") !== 3) {
+        await sleep(50);
+    }
+    assert.deepEqual(exchange.live().map(peer => peer.report.name), ["old-1"]);
+    assert.ok(
+        received.every(message => message.method === "peer.report" && Array.isArray(message.params.peers)),
+    );
+    clearInterval(timer);
+    while (exchange.live().length > 0) {
+        await sleep(50);
+    }
+    old.close();
+});
--- a/packages/gypsumstage-instance/src/peers/ContactMonitor.ts
+++ b/packages/gypsumstage-instance/src/peers/ContactMonitor.ts
@@ -4,6 +4,8 @@
     readonly hear: (name: string, isContact: boolean, nowMs: number) => void;
     /** Returns whether a report of the instance came lately. */
     readonly isHeard: (name: string, nowMs: number) => boolean;
+    /** When this process last went on after a pause, in which it heard nobody; `-Infinity` without a pause. */
+    readonly resumedAtMs: () => number;
     /** Names of the instances whose reports have stopped for half the time after which they are gone. */
     readonly listDoubtful: (nowMs: number) => readonly string[];
     /** Returns each instance once whose reports have stopped for too long. */
--- a/packages/gypsumstage-instance/src/peers/createContactMonitor.ts
+++ b/packages/gypsumstage-instance/src/peers/createContactMonitor.ts
@@ -17,6 +17,7 @@
     const heardAtMs = new Map<string, number>();
     const monitored = new Set<string>();
     let countedFromMs = -Infinity;
+    let resumedAtMs = -Infinity;
     let lastCallAtMs: number | undefined;
     const silenceMs = (name: string, nowMs: number): number =>
         nowMs - Math.max(heardAtMs.get(name) ?? -Infinity, countedFromMs);
@@ -27,6 +28,9 @@
         const names = [...monitored];
         const heard = names.filter(name => isHeard(name, nowMs)).length;
         const wasPaused = lastCallAtMs !== undefined && nowMs - lastCallAtMs > PAUSE_MS;
+        if (wasPaused) {
+            resumedAtMs = nowMs;
+        }
         if (wasPaused || heard < MIN_HEARD_SHARE * names.length) {
             countedFromMs = nowMs;
         }
@@ -43,6 +47,7 @@
             }
         },
         isHeard,
+        resumedAtMs: () => resumedAtMs,
         listDoubtful: nowMs => [...monitored].filter(name => silenceMs(name, nowMs) > getTimeoutMs() / 2),
         takeSilent: nowMs => {
             restartIfUncertain(nowMs);
--- a/packages/gypsumstage-instance/src/peers/createMembership.ts
+++ b/packages/gypsumstage-instance/src/peers/createMembership.ts
@@ -87,7 +87,8 @@
     };
     const isDataCentreHeard = (dataCentre: string, nowMs: number): boolean => {
         const madeAtMs = summaries.get(dataCentre)?.madeAtMs;
-        return madeAtMs !== undefined && nowMs - madeAtMs <= DATA_CENTRE_TIMEOUT_MS;
+        return madeAtMs !== undefined
+            && nowMs - Math.max(madeAtMs, monitor.resumedAtMs()) <= DATA_CENTRE_TIMEOUT_MS;
     };
     return {
         own: () => own,
--- a/packages/gypsumstage-instance/src/store/followTopics.ts
+++ b/packages/gypsumstage-instance/src/store/followTopics.ts
@@ -50,11 +50,12 @@
     log: Log,
 ): FollowedTopics => {
     const { incarnation, isReady } = self;
+    const startedAtMs = monotonicNow();
     let isFollowing = false;
     const shouldFollow = (): boolean => {
         const allPeers = peers.all();
         const nowMs = monotonicNow();
-        const isNext = shouldFollowStore(cfg, allPeers, nowMs, READER_LIMITS);
+        const isNext = shouldFollowStore(cfg, allPeers, nowMs - startedAtMs, nowMs, READER_LIMITS);
         if (isNext !== isFollowing) {
             isFollowing = isNext;
             log("info", isNext ? "store-follow-started" : "store-follow-stopped", {
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/peers.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/peers.test.ts
@@ -13,6 +13,8 @@
 import { createReport } from "./createReport.js";
 import { createRoute } from "./createRoute.js";
 
+/** Running time of an instance that started long ago. */
+const RUNNING_MS = 60_000;
 const LIMITS = { maxSilenceMs: 1_500, maxStoreAgeMs: 2_800 };
 
 const report = (name: string, fields: Partial<PeerReport> = {}): PeerReport =>
@@ -32,7 +34,13 @@
     const all = ["a", "b", "c"];
     const followers = all.filter(own => {
         const others = receiveReports(0, ...all.filter(name => name !== own).map(name => report(name)));
-        return shouldFollowStore({ name: own, region: "kutch" }, [...others.values()], 100, LIMITS);
+        return shouldFollowStore(
+            { name: own, region: "kutch" },
+            [...others.values()],
+            RUNNING_MS,
+            100,
+            LIMITS,
+        );
     });
     assert.equal(followers.length, 1);
 });
@@ -42,7 +50,7 @@
         ...receiveReports(0, report("a", { storeAgeMs: undefined }), report("b", { storeAgeMs: 2_700 }))
             .values(),
     ];
-    assert.equal(shouldFollowStore({ name: "c", region: "kutch" }, peers, 200, LIMITS), true);
+    assert.equal(shouldFollowStore({ name: "c", region: "kutch" }, peers, RUNNING_MS, 200, LIMITS), true);
 });
 
 test("a topic is fetched from the nearest peer with a more recent copy", () => {
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/storeReaders.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/storeReaders.test.ts
@@ -11,6 +11,8 @@
 import { createReport } from "./createReport.js";
 
 const REGIONS = ["kutch", "bharuch", "bhavnagar"];
+/** Running time of an instance that started long ago. */
+const RUNNING_MS = 60_000;
 const LIMITS = { maxSilenceMs: 1_500, maxStoreAgeMs: 3_300 };
 /** Time in which a change must be in force everywhere, less one second for reading the store and fetching. */
 const MAX_STEP_IN_MS = 2_000;
@@ -58,19 +60,34 @@
         const [waiting] = fleet.filter(each => each.region === "kutch" && !readers.has(each.name));
         assert.ok(waiting);
         let nowMs = 0;
-        while (!shouldFollowStore(waiting, listPeers(nowMs), nowMs, LIMITS)) {
+        while (!shouldFollowStore(waiting, listPeers(nowMs), RUNNING_MS, nowMs, LIMITS)) {
             nowMs += STEP_MS;
         }
         assert.ok(nowMs > 0 && nowMs <= MAX_STEP_IN_MS, `after ${nowMs} ms`);
     });
 }
 
+test("of many instances that start at the same moment one a region reads the store, the others only when they hear no reader", () => {
+    const names = Array.from({ length: 22 }, (...[, index]) => `n-${index}`);
+    const countReaders = (runningMs: number): number =>
+        names.filter(name => {
+            const others = names.filter(each => each !== name).map(each => state(createReport(each), 0));
+            return shouldFollowStore({ name, region: "kutch" }, others, runningMs, runningMs, LIMITS);
+        }).length;
+    assert.equal(countReaders(100), 0);
+    assert.equal(countReaders(400), 1);
+    assert.equal(countReaders(LIMITS.maxSilenceMs + 1), names.length);
+});
+
 test("a reader that is stopping is replaced at once", () => {
     const reader = createReport("r", { storeAgeMs: 10 });
     const [better] = rankByRendezvousHash("store-follower", ["r", "own"]);
     const own = { name: better === "r" ? "own" : "other", region: "kutch" };
-    assert.equal(shouldFollowStore(own, [state(reader, 0)], 100, LIMITS), false);
-    assert.equal(shouldFollowStore(own, [state({ ...reader, isReady: false }, 0)], 100, LIMITS), true);
+    assert.equal(shouldFollowStore(own, [state(reader, 0)], RUNNING_MS, 100, LIMITS), false);
+    assert.equal(
+        shouldFollowStore(own, [state({ ...reader, isReady: false }, 0)], RUNNING_MS, 100, LIMITS),
+        true,
+    );
 });
 
 test("an announcement updates what a peer told, and proves that the peer lives", () => {
