Judge the liveness of an instance in constant time

Cause: whether an instance is live depends on the report interval, which was worked out anew for each instance by going through all of them, so that listing the live ones took time by the square of the fleet, many times a second.

Change: the interval is worked out once a batch (100 ms), and a report of an earlier build is known by its missing generation. Nothing else changes.

--- a/packages/gypsumstage-instance/src/peers/startPeerExchange.ts
+++ b/packages/gypsumstage-instance/src/peers/startPeerExchange.ts
@@ -46,7 +46,7 @@
 /** The report of an instance without what the exchange adds. */
 type OwnReport = Omit<PeerReport, "generation" | "version" | "isToContact" | "isReplyWanted">;
 
-const isLegacy = (peer: PeerState): boolean => toMemberRecord(peer.report) === undefined;
+const isLegacy = ({ report }: PeerState): boolean => report.generation === undefined;
 
 /**
  * Exchanges what instances know of each other, by datagram. Each sends full reports to its contacts, which notice when they stop, and
@@ -83,9 +83,10 @@
         );
     let contacts: readonly MemberRecord[] = [];
     const listLegacy = (): readonly PeerState[] => [...peers.values()].filter(isLegacy);
-    const reportIntervalMs = (): number => getRoundMs(contacts.length + listLegacy().length);
+    /** Updated with each batch, as the liveness of each instance is judged by it. */
+    let reportIntervalMs = MIN_REPORT_INTERVAL_MS;
     const livenessTimeoutMs = (): number =>
-        Math.max(MIN_LIVENESS_TIMEOUT_MS, LIVENESS_TIMEOUT_INTERVALS * reportIntervalMs());
+        Math.max(MIN_LIVENESS_TIMEOUT_MS, LIVENESS_TIMEOUT_INTERVALS * reportIntervalMs);
     const tellContradicted = (record: MemberRecord): void =>
         socket.send(
             NOTICES_METHOD,
@@ -164,6 +165,7 @@
             ...contacts.map(contact => contact.internalAddress),
             ...listLegacy().map(peer => peer.report.internalAddress),
         ];
+        reportIntervalMs = getRoundMs(addresses.length);
         const targets = rotation.nextTargets(addresses);
         socket.send("peer.report", createFullReport({ isToContact: true }), targets);
         const doubtful = membership.listDoubtful(monotonicNow())
@@ -186,11 +188,11 @@
             memberFetch.requestOwn(introductions.firstSeed());
         }
         if (nowMs >= nextSummaryAtMs) {
-            nextSummaryAtMs = nowMs + reportIntervalMs();
+            nextSummaryAtMs = nowMs + reportIntervalMs;
             inFlightTotals = sumInFlight(
                 [...peers.values()],
                 nowMs,
-                MAX_IN_FLIGHT_AGE_INTERVALS * reportIntervalMs(),
+                MAX_IN_FLIGHT_AGE_INTERVALS * reportIntervalMs,
             );
             peerLog.update(live().map(peer => peer.report.name));
         }
