Rely on another instance's way to the store only as long as the bounds for changes allow

Cause: an instance that doesn't read the store counted its region's reader as one until the last read it knew of was 3.3 s old, a constant beside which a watch of 2 s and its timeout of 0.8 s were chosen, while configApply is 2.5 s. It didn't matter whether the reader fell silent, was reset, refused or slow.

Change: the limits follow from the shortest of configApply, drainTimeout and evacuation. The watches of the three topics end one after the other, so a reader hears from the store every 0.48 of half the bound without further calls, and announces each read with the latest moment at which the response must have been made. An instance whose copies are not confirmed by a read within 0.7 to 0.84 of that time reads the store itself, whatever the reason: that also bounds late or failing fetches and lost announcements. It begins at its own copy's revision in place of listing all records. A region without a reader gets announcements at two instances.

Ruled out: shorter watches (at 0.6 s, more than three times the calls); probes beside the watches (they say nothing of the topics).

--- a/packages/gypsumstage-instance/src/InstanceConfig.ts
+++ b/packages/gypsumstage-instance/src/InstanceConfig.ts
@@ -26,6 +26,8 @@
     readonly maxRegionShift: number;
     /** Time from the stop signal until the process is killed. */
     readonly gracePeriodMs: number;
+    /** Time in which a change of the store must be in force at all instances. */
+    readonly changeBoundMs: number;
     /** For how long callers may cache a lookup response. */
     readonly lookupTtlMs: number;
 }
--- a/packages/gypsumstage-instance/src/InstanceGauges.ts
+++ b/packages/gypsumstage-instance/src/InstanceGauges.ts
@@ -6,6 +6,8 @@
     readonly inFlight: number;
     /** Time since this instance or, if that is more recent, a peer last read the store; in milliseconds. */
     readonly storeAgeMs: number | undefined;
+    /** Time since this instance's copies were last known to be those of the store, in milliseconds. */
+    readonly copyAgeMs: number | undefined;
     /** Retries and hedges that the budget still allows, by service. */
     readonly retriesLeft: Readonly<Record<string, number>>;
     readonly suspectRequests: number;
--- a/packages/gypsumstage-instance/src/__tests__/unit/registerAnnouncements.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/registerAnnouncements.test.ts
@@ -24,16 +24,18 @@
 } => {
     const topicStore = createStore<TopicState, TopicEvent>(EMPTY_TOPIC, updateTopic);
     const announced: TopicAnnouncement[] = [];
-    const stop = registerAnnouncements(
-        () => ({
-            name: "n-1",
-            incarnation: "i",
-            isReady: true,
-            topics: { evacuations: { revision: topicStore.get().revision ?? 0, count: 0 } },
-            storeAgeMs: isReader ? 10 : undefined,
-        }),
+    const createAnnouncement = (): TopicAnnouncement => ({
+        name: "n-1",
+        incarnation: "i",
+        isReady: true,
+        topics: { evacuations: { revision: topicStore.get().revision ?? 0, count: 0 } },
+        storeAgeMs: 10,
+    });
+    const { stop } = registerAnnouncements(
+        () => isReader ? createAnnouncement() : undefined,
         () => [],
         [topicStore],
+        () => 500,
         announcement => announced.push(announcement),
     );
     return { announced, change: topicStore.dispatch, stop };
--- a/packages/gypsumstage-instance/src/createInstanceMetrics.ts
+++ b/packages/gypsumstage-instance/src/createInstanceMetrics.ts
@@ -24,6 +24,7 @@
                 cut_services: gauges.cutServices,
                 suspect_requests: gauges.suspectRequests,
                 store_age_seconds: toSeconds(gauges.storeAgeMs),
+                copy_age_seconds: toSeconds(gauges.copyAgeMs),
             };
             gauge.reset();
             for (const [figure, value] of Object.entries(figures)) {
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -51,6 +51,7 @@
     const incarnation = createUniqueId();
     const rpc = createRpcClient(RPC_TIMEOUT_MS);
     let storeAgeMs = (): number | undefined => undefined;
+    let copyAgeMs = (): number | undefined => undefined;
     let phase: InstancePhase = "serving";
     const onViewChange = (view: FleetView, before: FleetView): void => {
         const nowMs = monotonicNow();
@@ -105,6 +106,7 @@
         livePeers: peers.live().length,
         inFlight: servers.inFlight(),
         storeAgeMs: findStoreAge(storeAgeMs(), peers.live(), monotonicNow()),
+        copyAgeMs: copyAgeMs(),
         retriesLeft: retryBudget.remaining(),
         cutServices: reach.cutServices().length,
         suspectRequests: coordination.suspects.size(),
@@ -161,7 +163,7 @@
     );
     const followedTopics = followTopics(
         cfg,
-        { incarnation, isReady },
+        { incarnation, isReady, changeBoundMs: () => cfg.changeBoundMs },
         fleet,
         countStoreCalls(platform.store, metrics.countStoreCall),
         peers,
@@ -170,6 +172,7 @@
         log,
     );
     storeAgeMs = followedTopics.storeAgeMs;
+    copyAgeMs = followedTopics.copyAgeMs;
     const shutDown = async (): Promise<void> => {
         const setPhase = (next: InstancePhase): void => {
             phase = next;
--- a/packages/gypsumstage-instance/src/store/FollowedTopics.ts
+++ b/packages/gypsumstage-instance/src/store/FollowedTopics.ts
@@ -5,5 +5,10 @@
      * undefined until a call has succeeded for every topic, and while this instance does not follow the store.
      */
     readonly storeAgeMs: () => number | undefined;
+    /**
+     * Age of this instance's copies, in milliseconds: the time since they were last known to be those of the store, by its own reads or
+     * those of other instances; undefined before that.
+     */
+    readonly copyAgeMs: () => number | undefined;
     readonly stop: () => void;
 }
--- a/packages/gypsumstage-instance/src/store/followTopics.ts
+++ b/packages/gypsumstage-instance/src/store/followTopics.ts
@@ -2,6 +2,8 @@
 import type { Log } from "@gypsumstage/shared/Log";
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import type { RpcClient } from "@gypsumstage/shared/RpcClient";
+import { computeStoreReaderLimits } from "@gypsumstage/steering/traffic/computeStoreReaderLimits";
+import { confirmCopy } from "@gypsumstage/steering/traffic/confirmCopy";
 import { findStoreAge } from "@gypsumstage/steering/traffic/findStoreAge";
 import { listAnnouncementTargets } from "@gypsumstage/steering/traffic/listAnnouncementTargets";
 import { shouldFollowStore } from "@gypsumstage/steering/traffic/shouldFollowStore";
@@ -12,25 +14,42 @@
 import type { PeerExchange } from "../peers/PeerExchange.js";
 import { registerAnnouncements } from "../peers/registerAnnouncements.js";
 import { registerTopicPull } from "../peers/registerTopicPull.js";
+import { createWatchSchedule } from "./createWatchSchedule.js";
 import type { FleetStore } from "./FleetStore.js";
 import type { FollowedTopics } from "./FollowedTopics.js";
 import { registerTopicFollower } from "./registerTopicFollower.js";
 
 const TOPICS: readonly Topic[] = ["policy", "endpoints", "evacuations"];
-/** Longest wait of one watch; bounds the time until a dead connection is detected. */
-const WATCH_TIMEOUT_MS = 2_000;
-/**
- * A reader announces every 500 ms, so three lost announcements make another instance step in. Its last read is as old as a
- * watch that waits to its end and is given up, and an announcement.
- */
-const READER_LIMITS: StoreReaderLimits = { maxSilenceMs: 1_500, maxStoreAgeMs: 3_300 };
+/** Pause between two checks whether this instance is to read the store. */
+const CHECK_INTERVAL_MS = 50;
+/** Announcements in each interval of confirmations, so that the loss of one doesn't make others step in. */
+const ANNOUNCEMENTS_PER_INTERVAL = 2;
+
+/** What `followTopics` has to know of the instance. */
+interface FollowingInstance {
+    /** Random id of this run of the process. */
+    readonly incarnation: string;
+    readonly isReady: () => boolean;
+    /** Returns the time in which a change of the store must be in force at all instances, in milliseconds. */
+    readonly changeBoundMs: () => number;
+}
+
+const findEarliest = (timesMs: readonly (number | undefined)[]): number | undefined =>
+    timesMs.reduce((left, right) =>
+        left === undefined || right === undefined ? undefined : Math.min(left, right)
+    );
+
+const findLatest = (timesMs: readonly (number | undefined)[]): number | undefined => {
+    const known = timesMs.filter(timeMs => timeMs !== undefined);
+    return known.length === 0 ? undefined : Math.max(...known);
+};
 
 /**
  * Keeps every topic up to date: from the store when this instance is one of its followers, and from peers that
  * have a more recent copy.
  *
  * @param cfg - the instance's settings
- * @param self - this run of the process, and whether it is ready
+ * @param self - this run of the process, whether it is ready, and the bound for changes
  * @param fleet - the instance's copies of the topics
  * @param store - the platform's store
  * @param peers - the reports of the other instances
@@ -41,7 +60,7 @@
  */
 export const followTopics = (
     cfg: InstanceConfig,
-    self: { readonly incarnation: string; readonly isReady: () => boolean; },
+    self: FollowingInstance,
     fleet: FleetState,
     store: FleetStore,
     peers: PeerExchange,
@@ -49,51 +68,90 @@
     metrics: Pick<InstanceMetrics, "recordTopicPull">,
     log: Log,
 ): FollowedTopics => {
-    const { incarnation, isReady } = self;
+    const { incarnation, isReady, changeBoundMs } = self;
     const startedAtMs = monotonicNow();
+    const limits = (): StoreReaderLimits => computeStoreReaderLimits(changeBoundMs());
     let isFollowing = false;
-    const shouldFollow = (): boolean => {
-        const allPeers = peers.all();
-        const nowMs = monotonicNow();
-        const isNext = shouldFollowStore(cfg, allPeers, nowMs - startedAtMs, nowMs, READER_LIMITS);
-        if (isNext !== isFollowing) {
-            isFollowing = isNext;
-            log("info", isNext ? "store-follow-started" : "store-follow-stopped", {
-                peers: allPeers.length,
-                peerStoreAgeMs: findStoreAge(undefined, allPeers, nowMs),
-            });
-        }
-        return isNext;
-    };
+    const chooseWaitMs = createWatchSchedule(() => limits().confirmIntervalMs);
     const followers = TOPICS.map(topic =>
-        registerTopicFollower(store, topic, fleet.topics[topic], shouldFollow, WATCH_TIMEOUT_MS, log)
+        registerTopicFollower(store, topic, fleet.topics[topic], {
+            isWanted: () => isFollowing,
+            chooseWaitMs: () => chooseWaitMs(topic),
+            onConfirmed: () => announcements.onRead(),
+        }, log)
     );
     const stopPulls = TOPICS.map(topic =>
         registerTopicPull(topic, fleet.topics[topic], cfg, peers.live, rpc, metrics, log)
     );
     const storeAgeMs = (): number | undefined => {
-        const confirmed = followers.map(follower => follower.confirmedAtMs());
-        const oldestAtMs = confirmed.reduce((left, right) =>
-            left === undefined || right === undefined ? undefined : Math.min(left, right)
+        const readsMs = followers.map(follower => follower.confirmedAtMs());
+        const earliestMs = findEarliest(readsMs);
+        const latestMs = findLatest(readsMs);
+        if (earliestMs === undefined || latestMs === undefined || !isFollowing) {
+            return undefined;
+        }
+        // The watches end one after the other: the earliest read is overdue after an interval for each other topic.
+        const spreadMs = (TOPICS.length - 1) * limits().confirmIntervalMs;
+        return Math.round(monotonicNow() - Math.min(latestMs, earliestMs + spreadMs));
+    };
+    let confirmedByPeers: readonly (number | undefined)[] = TOPICS.map(() => undefined);
+    const copyAgeMs = (): number | undefined => {
+        const confirmedAtMs = findEarliest(
+            followers.map((follower, index) =>
+                findLatest([follower.confirmedAtMs(), confirmedByPeers[index]])
+            ),
         );
-        return oldestAtMs === undefined || !isFollowing ? undefined : Math.round(monotonicNow() - oldestAtMs);
+        const ageMs = confirmedAtMs === undefined ? undefined : monotonicNow() - confirmedAtMs;
+        return findEarliest([ageMs, storeAgeMs() ?? ageMs]);
+    };
+    const check = (): void => {
+        const allPeers = peers.all();
+        const nowMs = monotonicNow();
+        confirmedByPeers = TOPICS.map((topic, index) =>
+            confirmCopy(confirmedByPeers[index], topic, fleet.topics[topic].get(), allPeers)
+        );
+        const ageMs = copyAgeMs();
+        const isNext = shouldFollowStore(cfg, allPeers, nowMs - startedAtMs, nowMs, ageMs, limits());
+        if (isNext === isFollowing) {
+            return;
+        }
+        isFollowing = isNext;
+        followers.forEach(follower => follower.wake());
+        log("info", isNext ? "store-follow-started" : "store-follow-stopped", {
+            peers: allPeers.length,
+            peerStoreAgeMs: findStoreAge(undefined, allPeers, nowMs),
+            copyAgeMs: ageMs,
+        });
     };
-    const stopAnnouncements = registerAnnouncements(
-        () => ({
-            name: cfg.name,
-            incarnation,
-            isReady: isReady(),
-            topics: fleet.topicVersions(),
-            storeAgeMs: storeAgeMs(),
-        }),
-        () => listAnnouncementTargets(cfg.region, peers.live(), monotonicNow(), READER_LIMITS),
+    const announcements = registerAnnouncements(
+        () =>
+            isFollowing
+                ? {
+                    name: cfg.name,
+                    incarnation,
+                    isReady: isReady(),
+                    topics: fleet.topicVersions(),
+                    storeAgeMs: storeAgeMs(),
+                }
+                : undefined,
+        () =>
+            listAnnouncementTargets(
+                cfg.region,
+                peers.live(),
+                monotonicNow(),
+                limits().maxStepInAgeMs,
+            ),
         TOPICS.map(topic => fleet.topics[topic]),
+        () => limits().confirmIntervalMs / ANNOUNCEMENTS_PER_INTERVAL,
         peers.announce,
     );
+    const checkTimer = setInterval(check, CHECK_INTERVAL_MS);
     return {
         storeAgeMs,
+        copyAgeMs,
         stop: () => {
-            stopAnnouncements();
+            clearInterval(checkTimer);
+            announcements.stop();
             followers.forEach(follower => follower.stop());
             stopPulls.forEach(stop => stop());
         },
--- a/packages/gypsumstage-instance/src/store/registerTopicFollower.ts
+++ b/packages/gypsumstage-instance/src/store/registerTopicFollower.ts
@@ -9,23 +9,21 @@
 import { listTopic } from "./listTopic.js";
 import type { StoreError } from "./StoreError.js";
 import type { TopicFollower } from "./TopicFollower.js";
+import type { TopicReading } from "./TopicReading.js";
 
-/** Pause between two checks whether this instance should follow the store. */
-const FOLLOW_CHECK_INTERVAL_MS = 250;
 const INITIAL_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 1_000;
 /** Time after the store recovers for which removed records stay in use, as they may reappear. */
 const RECOVERY_GRACE_MS = 2_000;
 
 /**
- * Keeps a topic up to date from the store while `shouldFollow` returns true: lists it once, then waits for
+ * Keeps a topic up to date from the store while its reading is wanted: lists it when there is no copy yet, then waits for
  * changes. It is listed again when the store no longer keeps the changes in between, or was restored from a copy.
  *
  * @param store - the platform's store
  * @param topic - the topic
  * @param topicStore - the instance's copy of the topic
- * @param shouldFollow - returns whether this instance should follow the store now
- * @param waitMs - longest wait for a change, in milliseconds
+ * @param reading - when the topic is read, and who is told of responses
  * @param log - receives loss and recovery of the store
  * @returns the handle on the follower
  */
@@ -33,8 +31,7 @@
     store: FleetStore,
     topic: Topic,
     topicStore: Store<TopicState, TopicEvent>,
-    shouldFollow: () => boolean,
-    waitMs: number,
+    reading: TopicReading,
     log: Log,
 ): TopicFollower => {
     let confirmedAtMs: number | undefined;
@@ -42,8 +39,16 @@
     let failures = 0;
     /** Watches without success since the last one that succeeded: their revision belonged to a history that is gone. */
     let watchesGone = 0;
-    let isListNeeded = true;
+    let isListNeeded = false;
+    /** True until the first response since this instance began to read. */
+    let isFirstRead = true;
     let pauseMs = 0;
+    let wake = (): void => undefined;
+    const confirm = (atMs: number): void => {
+        isFirstRead = false;
+        confirmedAtMs = Math.max(confirmedAtMs ?? atMs, atMs);
+        reading.onConfirmed();
+    };
     const onSuccess = (): number | undefined => {
         const nowMs = monotonicNow();
         if (failures > 0) {
@@ -52,7 +57,6 @@
         }
         failures = 0;
         pauseMs = 0;
-        confirmedAtMs = nowMs;
         const retainUntilMs = recoveredAtMs === undefined ? 0 : recoveredAtMs + RECOVERY_GRACE_MS;
         return nowMs < retainUntilMs ? retainUntilMs : undefined;
     };
@@ -80,6 +84,7 @@
         backOff(failures);
     };
     const list = async (): Promise<void> => {
+        const sentAtMs = monotonicNow();
         const res = await listTopic(store, topic);
         if (!res.ok) {
             onFailure(res.error);
@@ -90,6 +95,7 @@
         const before = topicStore.get();
         const retainUntilMs = onSuccess();
         topicStore.dispatch({ kind: "listed", ...res.value, retainUntilMs, nowMs: monotonicNow() });
+        confirm(sentAtMs);
         const current = topicStore.get();
         log("info", current === before ? "store-listing-ignored" : "store-listed", {
             topic,
@@ -105,7 +111,9 @@
         { era, revision }: { readonly era: number; readonly revision: number; },
     ): Promise<void> => {
         // After a failure the store may have been restored; only a response tells, so none is waited for.
-        const res = await store.watch(topic, revision, failures > 0 ? 0 : waitMs);
+        const waitMs = failures > 0 || isFirstRead ? 0 : reading.chooseWaitMs();
+        const sentAtMs = monotonicNow();
+        const res = await store.watch(topic, revision, waitMs);
         if (!res.ok) {
             onFailure(res.error);
             return;
@@ -117,22 +125,33 @@
         }
         watchesGone = 0;
         topicStore.dispatch({ kind: "changed", ...res.value, retainUntilMs: onSuccess() });
+        // The store may have sent events at any time of the wait, but says that there are none only at its end.
+        const waitedMs = res.value.changes.length === 0 ? waitMs : 0;
+        confirm(Math.min(monotonicNow(), sentAtMs + waitedMs));
     };
     const step = async (): Promise<void> => {
         const { era, revision } = topicStore.get();
-        if (!shouldFollow()) {
+        pauseMs = 0;
+        if (!reading.isWanted()) {
             // Another instance reads the store, so failures from before say nothing about when the store came back.
             failures = 0;
             recoveredAtMs = undefined;
-            pauseMs = FOLLOW_CHECK_INTERVAL_MS;
+            isFirstRead = true;
+            await new Promise<void>(resolve => wake = resolve);
             return;
         }
-        pauseMs = 0;
         await (isListNeeded || revision === undefined ? list() : watch({ era, revision }));
     };
-    const stop = startPeriodicTask(step, () => pauseMs, err => {
+    const stopTask = startPeriodicTask(step, () => pauseMs, err => {
         log("error", "topic-follower-failed", { topic, reason: String(err) });
         pauseMs = MAX_BACKOFF_MS;
     });
-    return { confirmedAtMs: () => confirmedAtMs, stop };
+    return {
+        confirmedAtMs: () => confirmedAtMs,
+        wake: () => wake(),
+        stop: () => {
+            stopTask();
+            wake();
+        },
+    };
 };
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/peers.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/peers.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { chooseInstances } from "../../../traffic/chooseInstances.js";
+import { computeStoreReaderLimits } from "../../../traffic/computeStoreReaderLimits.js";
 import { EMPTY_TOPIC } from "../../../traffic/EMPTY_TOPIC.js";
 import { findPeerWithNewerTopic } from "../../../traffic/findPeerWithNewerTopic.js";
 import { listColdOwners } from "../../../traffic/listColdOwners.js";
@@ -15,7 +16,9 @@
 
 /** Running time of an instance that started long ago. */
 const RUNNING_MS = 60_000;
-const LIMITS = { maxSilenceMs: 1_500, maxStoreAgeMs: 2_800 };
+const LIMITS = computeStoreReaderLimits(2_500);
+/** Age of the own copies of an instance that hears a reader. */
+const COPY_AGE_MS = 100;
 
 const report = (name: string, fields: Partial<PeerReport> = {}): PeerReport =>
     createReport(name, { storeAgeMs: 100, ...fields });
@@ -39,6 +42,7 @@
             [...others.values()],
             RUNNING_MS,
             100,
+            COPY_AGE_MS,
             LIMITS,
         );
     });
@@ -50,7 +54,10 @@
         ...receiveReports(0, report("a", { storeAgeMs: undefined }), report("b", { storeAgeMs: 2_700 }))
             .values(),
     ];
-    assert.equal(shouldFollowStore({ name: "c", region: "kutch" }, peers, RUNNING_MS, 200, LIMITS), true);
+    assert.equal(
+        shouldFollowStore({ name: "c", region: "kutch" }, peers, RUNNING_MS, 200, 2_900, LIMITS),
+        true,
+    );
 });
 
 test("a topic is fetched from the nearest peer with a more recent copy", () => {
