Deliver begun responses before a connection counts as idle, and reset those that a stop cuts

Cause: Node.js counts a connection as idle once its response was handed over, so closeIdleConnections, which server.close calls too, destroys it with all bytes that wait for a slow reader. The instance's count of requests in flight ended at the same moment, so the process exited. destroy ends a response without a length by FIN, as if it were complete.

Change: trackDeliveries replaces closeIdleConnections: idle is a connection without a response whose last byte the operating system has not taken, and without bytes of a next request. A request is in flight until then. What cannot be delivered before the end is reset. It counts for relayed requests too, and the `entry` of the own roles uses the same code (not tested there).

Ruled out: resetAndDestroy alone, which waits until the reader has taken everything.

--- a/packages/gypsumstage-entry/src/createEntryServer.ts
+++ b/packages/gypsumstage-entry/src/createEntryServer.ts
@@ -1,4 +1,5 @@
 import { findHeadFault } from "@gypsumstage/shared/findHeadFault";
+import { trackDeliveries } from "@gypsumstage/shared/trackDeliveries";
 import Fastify, { type FastifyInstance } from "fastify";
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
@@ -65,6 +66,7 @@
         forceCloseConnections: "idle",
         exposeHeadRoutes: false,
     });
+    trackDeliveries(app.server);
     app.removeAllContentTypeParsers();
     app.addContentTypeParser("*", (_req, _payload, done) => done(null)); // eslint-disable-line no-restricted-syntax -- fastify's "no error"
     app.all("/*", (req, reply) => {
--- a/packages/gypsumstage-instance/src/RequestServers.ts
+++ b/packages/gypsumstage-instance/src/RequestServers.ts
@@ -5,7 +5,9 @@
 export interface RequestServers {
     readonly callers: Server;
     readonly relay: Server;
-    /** Requests in flight at both. */
+    /** Requests in flight at both; one ends when the operating system has taken its whole response. */
     readonly inFlight: () => number;
+    /** Resets the connections on which responses are still being delivered. */
+    readonly resetUndelivered: () => void;
     readonly applyLimits: (limits: ClientLimits) => void;
 }
--- a/packages/gypsumstage-instance/src/createRequestServers.ts
+++ b/packages/gypsumstage-instance/src/createRequestServers.ts
@@ -16,8 +16,10 @@
     let inFlight = 0;
     const countInFlight = (handle: RequestHandler): RequestHandler => async (req, res) => {
         inFlight += 1;
+        const delivered = new Promise<void>(resolve => res.once("close", resolve));
         try {
             await handle(req, res);
+            await delivered;
         }
         finally {
             inFlight -= 1;
@@ -29,6 +31,10 @@
         callers: callers.server,
         relay: relay.server,
         inFlight: () => inFlight,
+        resetUndelivered: () => {
+            callers.deliveries.resetUndelivered();
+            relay.deliveries.resetUndelivered();
+        },
         applyLimits: limits => {
             callers.applyLimits(limits);
             relay.applyLimits(limits);
--- a/packages/gypsumstage-instance/src/startListeners.ts
+++ b/packages/gypsumstage-instance/src/startListeners.ts
@@ -52,10 +52,10 @@
  *
  * @param requests - the servers for requests, not yet listening
  * @param deps - state and settings for the other servers
- * @returns the function that closes them; open connections of callers are cut
+ * @returns the function that closes them; open connections of callers are cut, by a reset where a response is being delivered
  */
 export const startListeners = async (
-    requests: Pick<RequestServers, "callers" | "relay">,
+    requests: Pick<RequestServers, "callers" | "relay" | "resetUndelivered">,
     deps: ListenerDependencies,
 ): Promise<() => Promise<void>> => {
     const { listen } = deps.cfg();
@@ -95,6 +95,7 @@
         listenOn(requests.relay, listen.relay),
     ]);
     return async () => {
+        requests.resetUndelivered();
         requests.callers.closeAllConnections();
         requests.relay.close();
         requests.relay.closeAllConnections();
