Keep Node.js from parsing the bundle when an assertion of a package fails

Cause: a failed assertion without a message makes Node.js read the source file of the call and parse it, to quote the expression. The file was the whole bundle.

Change: the compiled bundle gets a name that is no file, so nothing is read; the message is generic then. It holds for every assertion of every bundled package, and the code cache doesn't depend on the name.

Ruled out: checking the status line ourselves, which would leave the other assertions; our own `assert` in the bundle.

--- a/packages/gypsumstage-bundle/src/__tests__/unit/compileBundle.test.ts
+++ b/packages/gypsumstage-bundle/src/__tests__/unit/compileBundle.test.ts
@@ -53,6 +53,11 @@
     assert.equal(globals.greeted, GREETING_LENGTH + 1);
 });
 
+test("a failed assertion of a bundled package does not make Node.js read and parse the bundle", () => {
+    writeFileSync(bundlePath, "const assert = require(\"node:assert\");\nassert(globalThis.greeted > 1);\n");
+    assert.throws(() => compileBundle(bundlePath).run(), (err: Error) => !err.message.includes("greeted"));
+});
+
 test("a bundle whose code cache is damaged rejects the cache and runs", () => {
     // A source that no other test compiles: V8 caches compiled sources within a process.
     writeFileSync(bundlePath, `${SOURCE}globalThis.greeted += 2;`);
--- a/packages/gypsumstage-bundle/src/compileBundle.ts
+++ b/packages/gypsumstage-bundle/src/compileBundle.ts
@@ -14,6 +14,12 @@
     directory: string,
 ) => void;
 
+/**
+ * Name of the bundle in stack traces. It names no file: for the message of a failed assertion Node.js reads the file of the call and
+ * parses all of it, which takes seconds for a bundle.
+ */
+const SCRIPT_NAME = "bundle:program";
+
 const SHEBANG = /^#!.*/;
 
 /**
@@ -28,8 +34,8 @@
     const wrappedSource = `(function (exports, require, module, __filename, __dirname) {${source}\n})`;
     const cachePath = getCodeCachePath(bundlePath);
     const script = existsSync(cachePath)
-        ? new Script(wrappedSource, { filename: bundlePath, cachedData: readFileSync(cachePath) })
-        : new Script(wrappedSource, { filename: bundlePath });
+        ? new Script(wrappedSource, { filename: SCRIPT_NAME, cachedData: readFileSync(cachePath) })
+        : new Script(wrappedSource, { filename: SCRIPT_NAME });
     return {
         script,
         isCacheUsed: script.cachedDataRejected === false,
