Answer every request whose handler fails, and dial only addresses that were parsed

Cause: the check of an address and the HTTP client parsed it apart from each other. The client's constructor threw in the middle of the request path, after the request was counted as in flight, and the server dropped the rejected promise of its handler.

Any error between reading a request and its end becomes a 502 with a log line request-handler-failed, or a reset when the response has begun: the status promises nothing, as it is not known how far the request came.

--- a/packages/gypsumstage-instance/src/request/createRequestHandler.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestHandler.ts
@@ -1,10 +1,11 @@
 import type { Route } from "@gypsumstage/domain/traffic/Route";
+import { describeError } from "@gypsumstage/shared/describeError";
 import { dropHopByHopHeaders } from "@gypsumstage/shared/dropHopByHopHeaders";
 import { findHeadFault } from "@gypsumstage/shared/findHeadFault";
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import { waitForNextPoll } from "@gypsumstage/shared/waitForNextPoll";
 import { matchRoute } from "@gypsumstage/steering/traffic/matchRoute";
-import type { IncomingMessage } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { InstancePhase } from "../InstancePhase.js";
 import { readRelayedRequest } from "../relay/readRelayedRequest.js";
 import { RELAY_HEADERS } from "../relay/RELAY_HEADERS.js";
@@ -27,6 +28,7 @@
 const STATUS_HEADERS_TOO_LARGE = 431;
 const STARTING_RETRY_AFTER_MS = 500;
 const LEAVING_REPLY: Reply = { kind: "refused", reason: "leaving", retryAfterMs: 50 };
+const INTERNAL_ERROR_REPLY: Reply = { kind: "failed", reason: "internal-error", isTimeout: false };
 /** Maximum body size while no configuration has been received. */
 const DEFAULT_MAX_BODY_BYTES = 1_048_576;
 const RELAY_REFUSED_RETRY_AFTER_MS = 200;
@@ -162,7 +164,7 @@
         }
         return routeAndServe(req, outcome.body, callerDisconnect, arrivedAtMs);
     };
-    return async (req, res) => {
+    const handleRequest: RequestHandler = async (req, res) => {
         const arrivedAtMs = monotonicNow();
         let isDisconnected = false;
         const callerDisconnect = new Promise<void>(resolve => {
@@ -178,14 +180,15 @@
             unregisterStop = ctx.stopSchedule.registerEndListener(() => resolve(undefined));
         });
         const headFault = findHeadFault(req);
-        const handle = (): Promise<LabelledReply> | LabelledReply =>
-            headFault === undefined
+        const findReply = async (): Promise<LabelledReply> => {
+            if (isDisconnected) {
+                return withUnknownLabels({ kind: "abandoned" });
+            }
+            return headFault === undefined
                 ? validateAndServe(req, callerDisconnect, stopping, arrivedAtMs)
                 : withUnknownLabels({ kind: "rejected", reason: headFault, status: STATUS_BAD_REQUEST });
-        const { reply, labels } = isDisconnected
-            ? withUnknownLabels({ kind: "abandoned" })
-            : await handle();
-        unregisterStop();
+        };
+        const { reply, labels } = await findReply().finally(unregisterStop);
         const tookMs = monotonicNow() - arrivedAtMs;
         if (sender === "caller") {
             ctx.metrics.recordReply(reply, labels, tookMs);
@@ -215,4 +218,27 @@
             }
         }
     };
+    /** Whether the request ran is not known after an error, so the reply promises nothing. */
+    const replyToError = (req: IncomingMessage, res: ServerResponse, err: unknown): void => {
+        ctx.log("error", "request-handler-failed", {
+            request: ctx.headerCodec.readRequest(req.headers).requestId,
+            path: req.url,
+            reason: describeError(err),
+        });
+        if (res.headersSent) {
+            req.socket.resetAndDestroy();
+            req.socket.destroy();
+        }
+        else {
+            writeReply(res, INTERNAL_ERROR_REPLY, true);
+        }
+    };
+    return async (req, res) => {
+        try {
+            await handleRequest(req, res);
+        }
+        catch (err) {
+            replyToError(req, res, err);
+        }
+    };
 };
--- a/packages/gypsumstage-instance/src/upstream/openConnection.ts
+++ b/packages/gypsumstage-instance/src/upstream/openConnection.ts
@@ -1,4 +1,5 @@
-import type { Socket } from "node:net";
+import type { Address } from "@gypsumstage/shared/Address";
+import { isIPv6, type Socket } from "node:net";
 import { Client } from "undici";
 import { registerAbnormalCloseListener } from "./registerAbnormalCloseListener.js";
 import type { UpstreamConnection } from "./UpstreamConnection.js";
@@ -14,18 +15,19 @@
  * treats a response without a length as complete even when the connection was reset in the middle of it, so
  * socket errors are recorded here before the library handles them.
  *
- * @param address - `IP:port` of the endpoint
+ * @param address - address of the endpoint
  * @param connector - opens the connection
  * @returns the connection
  */
-export const openConnection = (address: string, connector: UpstreamConnector): UpstreamConnection => {
+export const openConnection = (address: Address, connector: UpstreamConnector): UpstreamConnection => {
     let isBroken = false;
     let isFirst = true;
     let socket: Socket | undefined;
     let onReceive = (): void => undefined;
-    const client = new Client(`http://${address}`, {
+    const { host, port } = address;
+    const client = new Client(`http://${isIPv6(host) ? `[${host}]` : host}:${port}`, {
         connect: (options, callback) =>
-            connector(options, (...result) => {
+            connector({ ...options, hostname: host, port: String(port) }, (...result) => {
                 if (result[1]) {
                     socket = result[1];
                     socket.on("readable", () => onReceive());
