--- a/packages/gypsumstage-instance/src/__tests__/unit/createEndpointTracker.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createEndpointTracker.test.ts
@@ -40,3 +40,21 @@
     tracker.recordHealthEvent("e-1", { kind: "checked", nowMs: 1, coldMs: 0 });
     assert.equal(tracker.isWarm("e-1", "k-1"), true);
 });
+
+test("object keys of the largest size do not fill the memory: the objects whose last request is longest ago are forgotten", () => {
+    const tracker = createEndpointTracker();
+    const keyOf = (index: number): string => `${index}-`.padEnd(9_000, "k");
+    tracker.trackRequest("e-1", keyOf(0));
+    for (let index = 1; index < 2_000; index++) {
+        tracker.trackRequest("e-1", "in-use");
+        tracker.trackRequest("e-2", keyOf(index));
+    }
+    assert.deepEqual(
+        [
+            tracker.isWarm("e-1", keyOf(0)),
+            tracker.isWarm("e-1", "in-use"),
+            tracker.isWarm("e-2", keyOf(1_999)),
+        ],
+        [false, true, true],
+    );
+});
--- a/packages/gypsumstage-instance/src/upstream/createColdRateLimiter.ts
+++ b/packages/gypsumstage-instance/src/upstream/createColdRateLimiter.ts
@@ -2,6 +2,7 @@
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import { listColdOwners } from "@gypsumstage/steering/traffic/listColdOwners";
 import type { PeerReport } from "@gypsumstage/steering/traffic/PeerReport";
+import { LRUCache } from "lru-cache";
 import type { ColdRateLimiter } from "./ColdRateLimiter.js";
 import { createEndpointCache } from "./createEndpointCache.js";
 
@@ -15,6 +16,8 @@
 const MS_PER_SECOND = 1_000;
 /** Time for which the owners of an endpoint are kept, as ranking all instances for each request costs too much. */
 const OWNERS_TTL_MS = 500;
+/** Endpoints whose last request is remembered; ids are not used again, so older ones must go. */
+const MAX_ENDPOINTS = 10_000;
 
 /**
  * Creates the limiter of this instance's requests to cold endpoints. A few owners of an endpoint get an equal
@@ -32,7 +35,7 @@
     isSettled: () => boolean,
     getRate: (service: string) => number,
 ): ColdRateLimiter => {
-    const nextAtMs = new Map<string, number>();
+    const nextAtMs = new LRUCache<string, number>({ max: MAX_ENDPOINTS });
     const isOwner = createEndpointCache(
         OWNERS_TTL_MS,
         endpoint => listColdOwners(endpoint, live(), OWNERS).includes(ownName),
