--- a/packages/gypsumstage-instance/src/store/followTopics.ts
+++ b/packages/gypsumstage-instance/src/store/followTopics.ts
@@ -3,7 +3,6 @@
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import type { RpcClient } from "@gypsumstage/shared/RpcClient";
 import { computeStoreReaderLimits } from "@gypsumstage/steering/traffic/computeStoreReaderLimits";
-import { confirmCopy } from "@gypsumstage/steering/traffic/confirmCopy";
 import { findStoreAge } from "@gypsumstage/steering/traffic/findStoreAge";
 import { listAnnouncementTargets } from "@gypsumstage/steering/traffic/listAnnouncementTargets";
 import { shouldFollowStore } from "@gypsumstage/steering/traffic/shouldFollowStore";
@@ -14,6 +13,7 @@
 import type { PeerExchange } from "../peers/PeerExchange.js";
 import { registerAnnouncements } from "../peers/registerAnnouncements.js";
 import { registerTopicPull } from "../peers/registerTopicPull.js";
+import { createCopyAges } from "./createCopyAges.js";
 import { createWatchSchedule } from "./createWatchSchedule.js";
 import type { FleetStore } from "./FleetStore.js";
 import type { FollowedTopics } from "./FollowedTopics.js";
@@ -34,16 +34,6 @@
     readonly changeBoundMs: () => number;
 }
 
-const findEarliest = (timesMs: readonly (number | undefined)[]): number | undefined =>
-    timesMs.reduce((left, right) =>
-        left === undefined || right === undefined ? undefined : Math.min(left, right)
-    );
-
-const findLatest = (timesMs: readonly (number | undefined)[]): number | undefined => {
-    const known = timesMs.filter(timeMs => timeMs !== undefined);
-    return known.length === 0 ? undefined : Math.max(...known);
-};
-
 /**
  * Keeps every topic up to date: from the store when this instance is one of its followers, and from peers that
  * have a more recent copy.
@@ -73,50 +63,34 @@
     const limits = (): StoreReaderLimits => computeStoreReaderLimits(changeBoundMs());
     let isFollowing = false;
     const chooseWaitMs = createWatchSchedule(() => limits().confirmIntervalMs);
-    const followers = TOPICS.map(topic =>
-        registerTopicFollower(store, topic, fleet.topics[topic], {
+    const followed = TOPICS.map(topic => {
+        const copy = fleet.topics[topic];
+        const follower = registerTopicFollower(store, topic, copy, {
             isWanted: () => isFollowing,
             chooseWaitMs: () => chooseWaitMs(topic),
             onConfirmed: () => announcements.onRead(),
-        }, log)
-    );
+        }, log);
+        return { topic, copy, follower };
+    });
     const stopPulls = TOPICS.map(topic =>
         registerTopicPull(topic, fleet.topics[topic], cfg, peers.live, rpc, metrics, log)
     );
-    const storeAgeMs = (): number | undefined => {
-        const readsMs = followers.map(follower => follower.confirmedAtMs());
-        const earliestMs = findEarliest(readsMs);
-        const latestMs = findLatest(readsMs);
-        if (earliestMs === undefined || latestMs === undefined || !isFollowing) {
-            return undefined;
-        }
-        // The watches end one after the other: the earliest read is overdue after an interval for each other topic.
-        const spreadMs = (TOPICS.length - 1) * limits().confirmIntervalMs;
-        return Math.round(monotonicNow() - Math.min(latestMs, earliestMs + spreadMs));
-    };
-    let confirmedByPeers: readonly (number | undefined)[] = TOPICS.map(() => undefined);
-    const copyAgeMs = (): number | undefined => {
-        const confirmedAtMs = findEarliest(
-            followers.map((follower, index) =>
-                findLatest([follower.confirmedAtMs(), confirmedByPeers[index]])
-            ),
-        );
-        const ageMs = confirmedAtMs === undefined ? undefined : monotonicNow() - confirmedAtMs;
-        return findEarliest([ageMs, storeAgeMs() ?? ageMs]);
-    };
+    const { update, storeAgeMs, copyAgeMs } = createCopyAges(
+        followed,
+        () => isFollowing,
+        () => limits().confirmIntervalMs,
+    );
     const check = (): void => {
         const allPeers = peers.all();
         const nowMs = monotonicNow();
-        confirmedByPeers = TOPICS.map((topic, index) =>
-            confirmCopy(confirmedByPeers[index], topic, fleet.topics[topic].get(), allPeers)
-        );
+        update(allPeers);
         const ageMs = copyAgeMs();
         const isNext = shouldFollowStore(cfg, allPeers, nowMs - startedAtMs, nowMs, ageMs, limits());
         if (isNext === isFollowing) {
             return;
         }
         isFollowing = isNext;
-        followers.forEach(follower => follower.wake());
+        followed.forEach(({ follower }) => follower.wake());
         log("info", isNext ? "store-follow-started" : "store-follow-stopped", {
             peers: allPeers.length,
             peerStoreAgeMs: findStoreAge(undefined, allPeers, nowMs),
@@ -152,7 +126,7 @@
         stop: () => {
             clearInterval(checkTimer);
             announcements.stop();
-            followers.forEach(follower => follower.stop());
+            followed.forEach(({ follower }) => follower.stop());
             stopPulls.forEach(stop => stop());
         },
     };
