--- a/packages/gypsumstage-instance/src/__tests__/unit/membershipModel.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/membershipModel.test.ts
@@ -5,6 +5,7 @@
 import { test } from "node:test";
 import { createMembership } from "../../peers/createMembership.js";
 import type { Membership } from "../../peers/Membership.js";
+import { createRandom } from "./createRandom.js";
 
 const STEP_MS = 100;
 const REPORT_INTERVAL_MS = 400;
@@ -28,14 +29,6 @@
     isCutOff: boolean;
 }
 
-const createRandom = (seed: number): () => number => {
-    let state = seed;
-    return () => {
-        state = (state * 1_103_515_245 + 12_345) % 2 ** 31;
-        return state / 2 ** 31;
-    };
-};
-
 /** A fleet without sockets: messages arrive within the step or are lost; all instances know each other at the start. */
 const createFleet = (size: number, seed: number): {
     readonly instances: readonly ModelInstance[];
--- a/packages/gypsumstage-instance/src/__tests__/unit/storeLossModel.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/storeLossModel.test.ts
@@ -24,6 +24,7 @@
 import type { StoreError } from "../../store/StoreError.js";
 import type { TopicChanges } from "../../store/TopicChanges.js";
 import type { TopicPage } from "../../store/TopicPage.js";
+import { createRandom } from "./createRandom.js";
 
 /** How some instances lose the store, while the others reach it. */
 type StoreLoss = "silent" | "reset" | "busy" | "slow";
@@ -68,14 +69,6 @@
     readonly stop: () => void;
 }
 
-const createRandom = (seed: number): () => number => {
-    let state = seed;
-    return () => {
-        state = (state * 1_103_515_245 + 12_345) % 2 ** 31;
-        return state / 2 ** 31;
-    };
-};
-
 const evacuation = (name: string, revision: number): TopicRecord => ({
     name,
     revision,
