Keep no connection to the store idle for longer than a second

A reader's watches follow each other at once, so they share connections as before.

Not changed: a watch that waits on a connection that goes silent ends by its own timeout; the other instances read the store themselves by then, as their copies are not confirmed in time.

--- a/packages/gypsumstage-platform/src/createHttpPlatform.ts
+++ b/packages/gypsumstage-platform/src/createHttpPlatform.ts
@@ -10,6 +10,8 @@
 import type { WriteCondition } from "./WriteCondition.js";
 
 const REQUEST_TIMEOUT_MS = 2_000;
+/** Idle connections may go silent without a sign, so they are kept only for calls in quick succession. */
+const KEEP_ALIVE_TIMEOUT_MS = 1_000;
 const STATUS_OK = 200;
 const STATUS_NOT_MODIFIED = 304;
 const STATUS_NOT_FOUND = 404;
@@ -39,6 +41,9 @@
     const agent = new Agent({
         connect: { timeout: REQUEST_TIMEOUT_MS },
         ...(sourceAddress === undefined ? {} : { localAddress: sourceAddress }),
+        keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+        // Otherwise the platform's own, longer timeout replaces that of the client.
+        keepAliveMaxTimeout: KEEP_ALIVE_TIMEOUT_MS,
         connections: 4,
     });
     const sendRequest = async (
