Bound the memory of request bodies, and leave those unread for which there is none

Cause: every body was read whole as fast as it came, held until its request ended, and joined once more in the end; nothing bounded the sum.

A body without memory waits unread for half of its time at most, first come, first served; when as much as the lane holds waits already, the next is refused at once with 503 and `Retry-After`. Large bodies are read into a buffer of their size, those of unknown length get memory for the largest one as soon as they are not small; one that is late frees its memory (408). A body larger than the lane is read alone.

Ruled out: one lane for all (a large upload would hold up the small bodies of all other requests); refusing all that doesn't fit (the second upload of four is served in time); reserving as the bytes come (bodies that are half read could wait for each other for ever).

--- a/packages/gypsumstage-instance/src/InstanceConfig.ts
+++ b/packages/gypsumstage-instance/src/InstanceConfig.ts
@@ -24,6 +24,8 @@
     readonly retry: RetryBudgetConfig;
     /** Largest share, 0 to 1, of a region's requests that may change region from one window to the next. */
     readonly maxRegionShift: number;
+    /** Memory that the process may take; it is killed beyond that. */
+    readonly memoryBytes: number;
     /** Time from the stop signal until the process is killed. */
     readonly gracePeriodMs: number;
     /** Time in which a change of the store must be in force at all instances. */
--- a/packages/gypsumstage-instance/src/request/RequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/RequestContext.ts
@@ -13,6 +13,7 @@
 import type { EndpointTracker } from "../upstream/EndpointTracker.js";
 import type { LeavingEndpoints } from "../upstream/LeavingEndpoints.js";
 import type { UpstreamPool } from "../upstream/UpstreamPool.js";
+import type { BodyMemory } from "./BodyMemory.js";
 import type { LocalPrimaryShares } from "./LocalPrimaryShares.js";
 import type { RegionShiftLimiter } from "./RegionShiftLimiter.js";
 import type { RetryBudget } from "./RetryBudget.js";
@@ -35,6 +36,7 @@
     readonly permits: RequestPermits;
     readonly suspects: SuspectRequests;
     readonly retryBudget: RetryBudget;
+    readonly bodyMemory: BodyMemory;
     readonly chooseService: ServiceChooser;
     readonly localPrimaryShare: LocalPrimaryShares;
     readonly regionShiftLimiter: RegionShiftLimiter;
--- a/packages/gypsumstage-instance/src/request/createRequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestContext.ts
@@ -10,6 +10,7 @@
 import type { StopSchedule } from "../StopSchedule.js";
 import { createColdRateLimiter } from "../upstream/createColdRateLimiter.js";
 import type { Upstreams } from "../upstream/Upstreams.js";
+import { createBodyMemory } from "./createBodyMemory.js";
 import { createLocalPrimaryShares } from "./createLocalPrimaryShares.js";
 import { createServiceChooser } from "./createServiceChooser.js";
 import type { RegionShiftLimiter } from "./RegionShiftLimiter.js";
@@ -18,7 +19,7 @@
 
 /** The running parts of an instance that its requests use. */
 interface RequestParts {
-    readonly cfg: Pick<InstanceConfig, "name" | "dataCentre" | "region">;
+    readonly cfg: Pick<InstanceConfig, "name" | "dataCentre" | "region" | "memoryBytes">;
     readonly view: () => FleetView;
     readonly upstreams: Upstreams;
     readonly peers: PeerExchange;
@@ -76,6 +77,7 @@
             ...listLocalReports(),
             ...peers.summaries(),
         ]),
+        bodyMemory: createBodyMemory(cfg.memoryBytes),
         regionShiftLimiter: parts.regionShiftLimiter,
         stopSchedule: parts.stopSchedule,
         chooseService: createServiceChooser(),
--- a/packages/gypsumstage-instance/src/request/createRequestHandler.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestHandler.ts
@@ -15,22 +15,24 @@
 import type { UpstreamRequest } from "../upstream/UpstreamRequest.js";
 import { createRequestFingerprint } from "./createRequestFingerprint.js";
 import type { LabelledReply } from "./LabelledReply.js";
-import { readWholeBody } from "./readWholeBody.js";
+import { readBody } from "./readBody.js";
 import type { Reply } from "./Reply.js";
 import type { RequestContext } from "./RequestContext.js";
 import type { RequestHandler } from "./RequestHandler.js";
 import { serveRequest } from "./serveRequest.js";
+import { toBodyRefusal } from "./toBodyRefusal.js";
 import { writeReply } from "./writeReply.js";
 
 const STATUS_BAD_REQUEST = 400;
 const STATUS_NOT_FOUND = 404;
-const STATUS_TOO_LARGE = 413;
 const STATUS_HEADERS_TOO_LARGE = 431;
 const STARTING_RETRY_AFTER_MS = 500;
 const LEAVING_REPLY: Reply = { kind: "refused", reason: "leaving", retryAfterMs: 50 };
 const INTERNAL_ERROR_REPLY: Reply = { kind: "failed", reason: "internal-error", isTimeout: false };
 /** Maximum body size while no configuration has been received. */
 const DEFAULT_MAX_BODY_BYTES = 1_048_576;
+/** Time in which a request that matches no route has to be answered. */
+const DEFAULT_TIMEOUT_MS = 10_000;
 const RELAY_REFUSED_RETRY_AFTER_MS = 200;
 const RELAY_HEADER_NAMES: ReadonlySet<string> = new Set(Object.values(RELAY_HEADERS));
 
@@ -123,46 +125,55 @@
             callerDisconnect,
         );
     };
+    /** Returns when the request has to be answered, on the monotonic clock. */
+    const findDueAt = (req: IncomingMessage, arrivedAtMs: number): number => {
+        const route = matchRoute(ctx.view().policy?.routes ?? [], hostOf(req), req.url ?? "/");
+        const timeoutMs = route?.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+        const { remainingMs = timeoutMs } = ctx.headerCodec.readRequest(req.headers);
+        return arrivedAtMs + Math.min(timeoutMs, remainingMs);
+    };
+    const findRefusal = (req: IncomingMessage): Reply | undefined => {
+        const limits = ctx.view().policy?.limits;
+        if (limits === undefined || !ctx.view().isComplete) {
+            return { kind: "refused", reason: "starting", retryAfterMs: STARTING_RETRY_AFTER_MS };
+        }
+        if (phase() === "refusing") {
+            return LEAVING_REPLY;
+        }
+        return countHeaderBytes(req) > limits.maxHeaderBytes
+            ? { kind: "rejected", reason: "headers-too-large", status: STATUS_HEADERS_TOO_LARGE }
+            : undefined;
+    };
     const validateAndServe = async (
         req: IncomingMessage,
         callerDisconnect: Promise<void>,
         stopping: Promise<undefined>,
         arrivedAtMs: number,
     ): Promise<LabelledReply> => {
-        const limits = ctx.view().policy?.limits;
-        const maxBytes = limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-        const outcome = await Promise.race([readWholeBody(req, maxBytes), stopping]);
+        const maxBytes = ctx.view().policy?.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
+        const reading = readBody(req, {
+            maxBytes,
+            dueAtMs: findDueAt(req, arrivedAtMs),
+            memory: ctx.bodyMemory,
+            callerDisconnect,
+        });
+        const outcome = await Promise.race([reading, stopping]);
         if (outcome === undefined) {
+            void reading.then(late => late.kind === "read" && late.release());
             return withUnknownLabels(LEAVING_REPLY);
         }
-        if (outcome.kind === "broken-off") {
-            return withUnknownLabels({ kind: "abandoned" });
+        if (outcome.kind !== "read") {
+            return withUnknownLabels(toBodyRefusal(outcome));
         }
-        if (outcome.kind === "too-large") {
-            return withUnknownLabels({
-                kind: "rejected",
-                reason: "body-too-large",
-                status: STATUS_TOO_LARGE,
-            });
-        }
-        if (limits === undefined || !ctx.view().isComplete) {
-            return withUnknownLabels({
-                kind: "refused",
-                reason: "starting",
-                retryAfterMs: STARTING_RETRY_AFTER_MS,
-            });
-        }
-        if (phase() === "refusing") {
-            return withUnknownLabels(LEAVING_REPLY);
+        try {
+            const refusal = findRefusal(req);
+            return refusal === undefined
+                ? await routeAndServe(req, outcome.body, callerDisconnect, arrivedAtMs)
+                : withUnknownLabels(refusal);
         }
-        if (countHeaderBytes(req) > limits.maxHeaderBytes) {
-            return withUnknownLabels({
-                kind: "rejected",
-                reason: "headers-too-large",
-                status: STATUS_HEADERS_TOO_LARGE,
-            });
+        finally {
+            outcome.release();
         }
-        return routeAndServe(req, outcome.body, callerDisconnect, arrivedAtMs);
     };
     const handleRequest: RequestHandler = async (req, res) => {
         const arrivedAtMs = monotonicNow();
