Count requests under which endpoints fall silent like those under which connections break

Cause: only broken connections were remembered until it is known whether their endpoint has ended. An attempt that is given up at the deadline, before the endpoint is back, was forgotten.

They count when another endpoint appears in the list in the place of the silent one, or when its port is found closed; not when the endpoint responds to a later request or a health check, or was leaving or draining.

Ruled out: a health check after each attempt that is given up (checks are priced, and make an endpoint wait for the check under load); counting entries that expire (the store lets those of living endpoints expire while it is down).

--- a/packages/gypsumstage-instance/src/request/startAttempt.ts
+++ b/packages/gypsumstage-instance/src/request/startAttempt.ts
@@ -123,9 +123,16 @@
         }
     };
     const recordSuspect = (outcome: AttemptOutcome, classification: AttemptClassification): void => {
+        const isReassigned = classification.kind === "not-run" && classification.reason === "other-endpoint";
+        if (outcome.kind === "answered" && !isReassigned) {
+            ctx.suspects.recordResponse(endpoint, startedAtMs);
+        }
         if (outcome.kind === "broken") {
             ctx.suspects.recordBroken(endpoint, req.fingerprint);
         }
+        else if (outcome.kind === "aborted" && outcome.wasSent && !tracker.health(endpoint.id).isLeaving) {
+            ctx.suspects.recordSilent(endpoint, req.fingerprint);
+        }
         else if (outcome.kind === "not-sent" && outcome.isPortClosed) {
             void recordEndIfReached(ctx.reach, ctx.suspects, endpoint);
         }
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -13,6 +13,7 @@
 import type { Instance } from "./Instance.js";
 import type { InstanceConfig } from "./InstanceConfig.js";
 import type { InstancePhase } from "./InstancePhase.js";
+import { listReplaced } from "./listReplaced.js";
 import { listRestarted } from "./listRestarted.js";
 import { startPeerExchange } from "./peers/startPeerExchange.js";
 import type { PlatformAdapter } from "./PlatformAdapter.js";
@@ -61,6 +62,7 @@
     const onViewChange = (view: FleetView, before: FleetView): void => {
         const nowMs = monotonicNow();
         listRestarted(before, view).forEach(upstreams.tracker.forget);
+        listReplaced(before, view).forEach(coordination.suspects.recordReplaced);
         for (const [id, coldMs] of findColdPeriods(before, view)) {
             upstreams.tracker.recordHealthEvent(id, { kind: "cold", untilMs: nowMs + coldMs });
         }
--- a/packages/gypsumstage-instance/src/suspects/SuspectRequests.ts
+++ b/packages/gypsumstage-instance/src/suspects/SuspectRequests.ts
@@ -11,6 +11,12 @@
     readonly isSuspect: (fingerprint: RequestFingerprint) => boolean;
     /** Records that the connection to the endpoint broke; the endpoint may have ended, or not. */
     readonly recordBroken: (endpoint: UpstreamEndpoint, fingerprint: RequestFingerprint) => void;
+    /** Records that an attempt was given up without a response; the endpoint may have ended, or be slow. */
+    readonly recordSilent: (endpoint: UpstreamEndpoint, fingerprint: RequestFingerprint) => void;
+    /** Records that the endpoint responded to a request that was sent at this time. */
+    readonly recordResponse: (endpoint: UpstreamEndpoint, sentAtMs: number) => void;
+    /** Records that an endpoint runs in the place of this one, which so has ended; it may have done so as planned. */
+    readonly recordReplaced: (endpoint: UpstreamEndpoint) => void;
     /** Records that an endpoint ran the request successfully. */
     readonly recordSuccess: (fingerprint: RequestFingerprint) => void;
     /** Records that the endpoint has ended. */
--- a/packages/gypsumstage-instance/src/suspects/createSuspectRequests.ts
+++ b/packages/gypsumstage-instance/src/suspects/createSuspectRequests.ts
@@ -13,6 +13,7 @@
 import { updateSuspects } from "@gypsumstage/steering/traffic/updateSuspects";
 import { createChangeListeners } from "../notices/createChangeListeners.js";
 import type { RequestFingerprint } from "../request/RequestFingerprint.js";
+import type { BrokenAttempt } from "./BrokenAttempt.js";
 import { createBrokenAttempts } from "./createBrokenAttempts.js";
 import { decodeSuspect } from "./decodeSuspect.js";
 import { encodeSuspect } from "./encodeSuspect.js";
@@ -101,10 +102,26 @@
             ? { kind: "refused", retryAfterMs: PROBE_INTERVAL_MS }
             : ALLOWED;
     };
+    const recordEnds = (run: string, attempts: readonly BrokenAttempt[]): void => {
+        for (const { fingerprint, atMs } of attempts) {
+            const { digest, headHash } = fingerprint;
+            const endedAtMs = new Map([[run, atMs]]);
+            dispatchAndSpread(digest, {
+                kind: "ended",
+                suspect: { digest, headHash, endedAtMs, answeredAtMs: undefined },
+            });
+        }
+    };
     return {
         judge,
         isSuspect: fingerprint => find(fingerprint) !== undefined,
-        recordBroken: (endpoint, fingerprint) => brokenAttempts.add(getRun(endpoint), fingerprint),
+        recordBroken: (endpoint, fingerprint) => brokenAttempts.add(getRun(endpoint), fingerprint, false),
+        recordSilent: (endpoint, fingerprint) => brokenAttempts.add(getRun(endpoint), fingerprint, true),
+        recordResponse: (endpoint, sentAtMs) => brokenAttempts.forgetSilent(getRun(endpoint), sentAtMs),
+        recordReplaced: endpoint => {
+            const run = getRun(endpoint);
+            recordEnds(run, brokenAttempts.takeSilent(run));
+        },
         recordSuccess: fingerprint => {
             brokenAttempts.forget(fingerprint);
             const suspect = find(fingerprint);
@@ -118,14 +135,7 @@
         },
         recordEnd: endpoint => {
             const run = getRun(endpoint);
-            for (const { fingerprint, atMs } of brokenAttempts.take(run)) {
-                const { digest, headHash } = fingerprint;
-                const endedAtMs = new Map([[run, atMs]]);
-                dispatchAndSpread(digest, {
-                    kind: "ended",
-                    suspect: { digest, headHash, endedAtMs, answeredAtMs: undefined },
-                });
-            }
+            recordEnds(run, brokenAttempts.take(run));
         },
         recordAlive: endpoint => void brokenAttempts.take(getRun(endpoint)),
         forgetBroken: endpoint => void brokenAttempts.take(getRun(endpoint)),
