Pass over instances that have lost the platform when the watchers of a data centre are chosen (own roles)

Cause: watchers were chosen by liveness alone, and a silent platform was noticed at the end of a watch of 10 s only, while a change must be in force within 7 s.

Change: an instance whose last read of the platform failed says so in its record, which is spread at once, and is passed over unless all have lost it. It looks every 5 s whether the platform is back. A watch ends after 2 s. Records of earlier builds have no such field and count as reaching it.

Ruled out: all instances watch when nothing is heard (3,200 watches at each silence of the platform).

`registerHeadWatch`: its bound of 3 s was meant as far less than a watch waits, so it is 1 s now that a watch waits 2 s; stricter than before.

--- a/packages/gypsumstage-domain/src/InstanceRecord.ts
+++ b/packages/gypsumstage-domain/src/InstanceRecord.ts
@@ -14,6 +14,8 @@
     readonly sequence: number;
     /** Lowest generation in force in the roles of the instance; 0 while a role has none or is silent. */
     readonly generation: number;
+    /** True after the instance failed to read the platform, until it succeeds; undefined in records of earlier builds. */
+    readonly isPlatformLost?: boolean;
     /** Undefined while the entry process has not reported its status recently. */
     readonly entry: EntryStatus | undefined;
 }
--- a/packages/gypsumstage-steer/src/HeadReadTracker.ts
+++ b/packages/gypsumstage-steer/src/HeadReadTracker.ts
@@ -4,6 +4,9 @@
     readonly readAtMs: () => number | undefined;
     /** Generation of the head at the last read; 0 when it was never read. */
     readonly generation: () => number;
+    /** Returns whether the last read failed. */
+    readonly isPlatformLost: () => boolean;
+    readonly recordFailure: () => void;
     /** Records a read, or an accepted write, of the head; `readAtMs` is monotonic time. */
     readonly recordRead: (generation: number, readAtMs: number) => void;
 }
--- a/packages/gypsumstage-steer/src/__tests__/unit/createOwnRecordProvider.test.ts
+++ b/packages/gypsumstage-steer/src/__tests__/unit/createOwnRecordProvider.test.ts
@@ -23,14 +23,16 @@
     ...overrides,
 });
 
-test("the own record is renewed once a second, and immediately when the entry begins to leave", () => {
+test("the own record is renewed once a second, and immediately when the entry begins to leave or the platform is lost", () => {
     mock.timers.enable({ apis: ["Date"], now: 10_000 });
     let status = createStatus({});
-    const getOwnRecord = createOwnRecordProvider(cfg, {
+    let isPlatformLost = false;
+    const roles = {
         entryStatus: () => status,
         lowestGeneration: () => 1,
         recordReport: () => undefined,
-    });
+    };
+    const getOwnRecord = createOwnRecordProvider(cfg, roles, () => isPlatformLost);
     const first = getOwnRecord();
     mock.timers.tick(400);
     status = createStatus({ inFlight: { s: 3 } });
@@ -42,5 +44,7 @@
     const leaving = getOwnRecord();
     assert.equal(leaving.entry?.isLeaving, true);
     assert.ok(leaving.sequence > first.sequence);
+    isPlatformLost = true;
+    assert.equal(getOwnRecord().isPlatformLost, true);
     mock.timers.reset();
 });
--- a/packages/gypsumstage-steer/src/__tests__/unit/registerHeadWatch.test.ts
+++ b/packages/gypsumstage-steer/src/__tests__/unit/registerHeadWatch.test.ts
@@ -17,7 +17,7 @@
 import type { SteerContext } from "../../SteerContext.js";
 
 /** Far less than a watch waits, and far more than the pause after a failure. */
-const NOTICE_MS = 3_000;
+const NOTICE_MS = 1_000;
 /** Version that the platform gives out again after it was restored. */
 const REPEATED_VERSION = 6;
 
--- a/packages/gypsumstage-steer/src/createHeadReadTracker.ts
+++ b/packages/gypsumstage-steer/src/createHeadReadTracker.ts
@@ -8,10 +8,16 @@
 export const createHeadReadTracker = (): HeadReadTracker => {
     let lastReadAtMs: number | undefined;
     let lastGeneration = 0;
+    let isPlatformLost = false;
     return {
         readAtMs: () => lastReadAtMs,
         generation: () => lastGeneration,
+        isPlatformLost: () => isPlatformLost,
+        recordFailure: () => {
+            isPlatformLost = true;
+        },
         recordRead: (generation, readAtMs) => {
+            isPlatformLost = false;
             lastReadAtMs = readAtMs;
             lastGeneration = generation;
         },
--- a/packages/gypsumstage-steer/src/registerHeadWatch.ts
+++ b/packages/gypsumstage-steer/src/registerHeadWatch.ts
@@ -9,14 +9,17 @@
 import { restoreHead } from "./restoreHead.js";
 import type { SteerContext } from "./SteerContext.js";
 
-const WATCH_TIMEOUT_MS = 10_000;
+/** A platform that has gone silent is noticed at the end of a watch, and a change must be in force within 7 s. */
+const WATCH_TIMEOUT_MS = 2_000;
 const RETRY_DELAY_MS = 300;
 const WATCHER_CHECK_INTERVAL_MS = 1_000;
+/** Pause between two checks whether a platform that was lost is back, while others read it. */
+const LOST_CHECK_INTERVAL_MS = 5_000;
 const NO_VERSION = 0;
 
 /**
- * Watches the configuration head in the platform while this instance is one of its data centre's watchers, and
- * applies newer configurations. When the platform's head is missing or older than the local configuration, it is
+ * Watches the configuration head in the platform while this instance is one of its data centre's watchers, or has lost the
+ * platform and is to notice when it is back, and applies newer configurations. When the platform's head is missing or older than the local configuration, it is
  * restored.
  *
  * @param context - the platform that is watched, the view that receives configurations, and the settings
@@ -59,17 +62,14 @@
             version = NO_VERSION;
         }
     };
-    const watchOnce = async (): Promise<void> => {
-        if (!listWatchers(store.get(), cfg.instance, monotonicNow()).includes(cfg.instance.name)) {
-            pauseMs = WATCHER_CHECK_INTERVAL_MS;
-            return;
-        }
+    const watchHead = async (): Promise<void> => {
         const watched = await platform.watch(HEAD_KEY, version, WATCH_TIMEOUT_MS);
         // The time of the response, not of the request: the platform responds when the watch ends, so the head is at
         // least as recent as the start of the response.
         const readAtMs = monotonicNow();
         pauseMs = watched.ok && watched.value !== undefined ? 0 : RETRY_DELAY_MS;
         if (!watched.ok) {
+            headReadTracker.recordFailure();
             log("debug", "platform-unreachable", { error: watched.error });
             // It may have been restored meanwhile and give versions out again, so the next watch must respond at once.
             version = NO_VERSION;
@@ -81,6 +81,19 @@
         }
         await applyHead(watched.value, readAtMs);
     };
+    const watchOnce = async (): Promise<void> => {
+        const isWatcher = listWatchers(store.get(), cfg.instance, monotonicNow()).includes(cfg.instance.name);
+        if (isWatcher) {
+            await watchHead();
+        }
+        else if (headReadTracker.isPlatformLost()) {
+            await watchHead();
+            pauseMs = LOST_CHECK_INTERVAL_MS;
+        }
+        else {
+            pauseMs = WATCHER_CHECK_INTERVAL_MS;
+        }
+    };
     return startPeriodicTask(
         watchOnce,
         () => pauseMs,
--- a/packages/gypsumstage-steer/src/startSteer.ts
+++ b/packages/gypsumstage-steer/src/startSteer.ts
@@ -38,6 +38,7 @@
 export const startSteer = async (cfg: InstanceSettings, log: Log): Promise<() => Promise<void>> => {
     const store = createStore(EMPTY_VIEW, updateView);
     const localRoles = createLocalRoles();
+    const headReadTracker = createHeadReadTracker();
     const context: SteerContext = {
         cfg,
         log,
@@ -49,8 +50,8 @@
             onResend: (address, reason) => log("info", "rpc-resent", { address, reason }),
         }),
         localRoles,
-        getOwnRecord: createOwnRecordProvider(cfg, localRoles),
-        headReadTracker: createHeadReadTracker(),
+        getOwnRecord: createOwnRecordProvider(cfg, localRoles, headReadTracker.isPlatformLost),
+        headReadTracker,
     };
     const membersVersionCounter = createMembersVersionCounter(store);
     const { app, listen } = createHttpServer(cfg.listen.steer ?? cfg.steer.address);
--- a/packages/gypsumstage-steering/src/listWatchers.ts
+++ b/packages/gypsumstage-steering/src/listWatchers.ts
@@ -5,7 +5,8 @@
 const WATCHERS_PER_DATA_CENTRE = 2;
 
 /**
- * Chooses the instances that read from the platform for their data centre; the others receive the results from them.
+ * Chooses the instances that read from the platform for their data centre; the others receive the results from them. Instances that
+ * have lost the platform are passed over, unless all have.
  * There is no election: processes whose views differ choose differently for a while, and a duplicate read does no
  * harm.
  *
@@ -19,11 +20,12 @@
     self: { readonly name: string; readonly dataCentre: string; },
     nowMs: number,
 ): readonly string[] => {
-    const live = view.records
-        .filter(record =>
-            record.dataCentre === self.dataCentre && nowMs - record.lastSeenAtMs < FRESH_RECORD_MAX_AGE_MS
-        )
-        .map(record => record.name);
-    const names = [...new Set([self.name, ...live])];
-    return rankByRendezvousHash(`watch/${self.dataCentre}`, names).slice(0, WATCHERS_PER_DATA_CENTRE);
+    const live = view.records.filter(record =>
+        record.dataCentre === self.dataCentre && nowMs - record.lastSeenAtMs < FRESH_RECORD_MAX_AGE_MS
+    );
+    const lost = new Set(live.filter(record => record.isPlatformLost === true).map(record => record.name));
+    const names = [...new Set([self.name, ...live.map(record => record.name)])];
+    const reaching = names.filter(name => !lost.has(name));
+    const candidates = reaching.length > 0 ? reaching : names;
+    return rankByRendezvousHash(`watch/${self.dataCentre}`, candidates).slice(0, WATCHERS_PER_DATA_CENTRE);
 };
