Hold memory for a small body only as its bytes come, and for a large one only its size

Sixteen callers that announced small bodies and sent nothing, or sixteen requests in chunks, however small, would have held the whole lane for as long as they lasted, and the requests of all others been refused.

Cause: the announced size was reserved before a byte had come, a mebibyte for each body of unknown length, and kept until the request ended.

Change: small bodies count as their bytes come, and are refused at once where there is no room; each body has to come within its request's time (408 after that, not run). A body of unknown length keeps what it is, not the largest size.

--- a/packages/gypsumstage-instance/src/__tests__/unit/createBodyLane.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createBodyLane.test.ts
@@ -40,6 +40,18 @@
     assert.equal(lane.usedBytes(), 50);
 });
 
+test("a body that turns out smaller than the memory reserved for it leaves the rest to others", async () => {
+    const lane = createBodyLane(100);
+    const first = await lane.reserve(100, WAIT);
+    const second = lane.reserve(60, WAIT);
+    first?.shrink(40);
+    assert.notEqual(await second, undefined);
+    first?.shrink(90);
+    assert.equal(lane.usedBytes(), 100);
+    first?.release();
+    assert.equal(lane.usedBytes(), 60);
+});
+
 test("a body larger than the lane is read alone", async () => {
     const lane = createBodyLane(0);
     const first = await lane.reserve(10, WAIT);
@@ -49,3 +61,13 @@
     first?.release();
     assert.notEqual(await second, undefined);
 });
+
+test("a reservation grows as long as there is room, and holds nothing before", () => {
+    const lane = createBodyLane(100);
+    const [first, second] = [lane.open(), lane.open()];
+    assert.equal(first.grow(80), true);
+    assert.equal(second.grow(30), false);
+    assert.equal(lane.usedBytes(), 80);
+    first.release();
+    assert.equal(second.grow(30), true);
+});
--- a/packages/gypsumstage-instance/src/request/BodyLane.ts
+++ b/packages/gypsumstage-instance/src/request/BodyLane.ts
@@ -3,6 +3,8 @@
 
 /** Memory that bodies of similar size share. */
 export interface BodyLane {
+    /** Returns a reservation of nothing. */
+    readonly open: () => BodyReservation;
     /**
      * Reserves memory for a body; waits for it while others hold it.
      *
--- a/packages/gypsumstage-instance/src/request/createBodyLane.ts
+++ b/packages/gypsumstage-instance/src/request/createBodyLane.ts
@@ -19,16 +19,23 @@
     const sumWaiting = (): number => [...waiting].reduce((sum, { bytes }) => sum + bytes, 0);
     const take = (bytes: number): BodyReservation => {
         usedBytes += bytes;
-        let isHeld = true;
-        return {
-            release: () => {
-                if (isHeld) {
-                    isHeld = false;
-                    usedBytes -= bytes;
-                    admitWaiting();
-                }
-            },
+        let heldBytes = bytes;
+        const shrink = (nextBytes: number): void => {
+            if (nextBytes < heldBytes) {
+                usedBytes -= heldBytes - nextBytes;
+                heldBytes = nextBytes;
+                admitWaiting();
+            }
+        };
+        const grow = (moreBytes: number): boolean => {
+            const hasRoom = usedBytes + moreBytes <= limitBytes;
+            if (hasRoom) {
+                usedBytes += moreBytes;
+                heldBytes += moreBytes;
+            }
+            return hasRoom;
         };
+        return { grow, shrink, release: () => shrink(0) };
     };
     const admitWaiting = (): void => {
         for (const body of waiting) {
@@ -40,6 +47,7 @@
         }
     };
     return {
+        open: () => take(0),
         reserve: (bytes, { maxMs, cancelled }) => {
             const decision = decideBodyAdmission(
                 { limitBytes, usedBytes, waitingBytes: sumWaiting() },
--- a/packages/gypsumstage-instance/src/request/createBodyMemory.ts
+++ b/packages/gypsumstage-instance/src/request/createBodyMemory.ts
@@ -5,7 +5,7 @@
 const USABLE_SHARE = 0.7;
 /** The process without any bodies, and the responses that it receives. */
 const OTHER_USES_BYTES = 167_772_160;
-const SMALL_LANE_BYTES = 16_777_216;
+const SMALL_LANE_BYTES = 33_554_432;
 
 /**
  * Creates the memory for the bodies of requests.
--- a/packages/gypsumstage-instance/src/request/readBody.ts
+++ b/packages/gypsumstage-instance/src/request/readBody.ts
@@ -27,12 +27,12 @@
 };
 
 /**
- * Reads the complete body of a caller's request into memory, once there is memory for it. Until then the body is left unread, so that
- * the caller sends no more.
+ * Reads the complete body of a caller's request into memory. A large body is left unread until there is memory for it, so that the caller
+ * sends no more; a small one is refused when there is none.
  *
  * @param req - the caller's request, whose body has not been read yet
  * @param limits - the maximum size, the time and the memory
- * @returns the body; or `too-large`; or `no-memory` when there is no room in time; or `late` when a large body did not come in time; or
+ * @returns the body; or `too-large`; or `no-memory` when there is no room in time; or `late` when the body did not come in time; or
  * `broken-off` when the connection closed before the end of the body
  */
 export const readBody = async (req: IncomingMessage, limits: BodyLimits): Promise<BodyOutcome> => {
@@ -44,57 +44,64 @@
     if (length === undefined && req.headers["transfer-encoding"] === undefined) {
         return NO_BODY;
     }
-    const held: BodyReservation[] = [];
-    const release = (): void => held.forEach(each => each.release());
-    const reserve = async (bytes: number): Promise<boolean> => {
-        const lane = bytes > SMALL_BODY_BYTES ? memory.large : memory.small;
-        const maxMs = Math.max(0, WAIT_SHARE * (dueAtMs - monotonicNow()));
-        const reservation = await lane.reserve(bytes, { maxMs, cancelled: callerDisconnect });
-        if (reservation !== undefined) {
-            held.push(reservation);
+    const remainingMs = (): number => Math.max(0, dueAtMs - monotonicNow());
+    const small = memory.small.open();
+    let large: BodyReservation | undefined;
+    const buffer = createBodyBuffer();
+    const release = (): void => {
+        small.release();
+        large?.release();
+    };
+    const reserveLarge = async (bytes: number): Promise<boolean> => {
+        const wait = { maxMs: WAIT_SHARE * remainingMs(), cancelled: callerDisconnect };
+        large = await memory.large.reserve(bytes, wait);
+        if (large !== undefined) {
+            buffer.allocate(bytes);
+            small.release();
         }
-        return reservation !== undefined;
+        return large !== undefined;
     };
-    if (!await reserve(length ?? SMALL_BODY_BYTES)) {
+    if (length !== undefined && length > SMALL_BODY_BYTES && !await reserveLarge(length)) {
         return { kind: "no-memory" };
     }
     if (req.destroyed) {
         release();
         return { kind: "broken-off" };
     }
-    const buffer = createBodyBuffer();
     let timer: NodeJS.Timeout | undefined;
     const outcome = await new Promise<BodyOutcome>(resolve => {
-        const allocate = (bytes: number): void => {
-            buffer.allocate(bytes);
-            timer = setTimeout(() => resolve({ kind: "late" }), Math.max(0, dueAtMs - monotonicNow()));
-        };
-        /** A body of unknown length that is not small needs memory for the largest one. */
+        timer = setTimeout(() => resolve({ kind: "late" }), remainingMs());
+        /** The final size of a body of unknown length is not known, so it gets memory for the largest one. */
         const enlarge = async (): Promise<void> => {
             req.pause();
-            if (!await reserve(maxBytes)) {
+            if (await reserveLarge(maxBytes)) {
+                req.resume();
+            }
+            else {
                 resolve({ kind: "no-memory" });
-                return;
             }
-            allocate(maxBytes);
-            req.resume();
         };
-        if (length !== undefined && length > SMALL_BODY_BYTES) {
-            allocate(length);
-        }
-        let isSmall = length === undefined;
+        let isEnlarging = false;
         req.on("data", (chunk: Buffer) => {
-            if (buffer.size() + chunk.length > maxBytes) {
+            const size = buffer.size() + chunk.length;
+            if (size > maxBytes) {
                 resolve({ kind: "too-large" });
                 return;
             }
+            if (large === undefined && !small.grow(chunk.length)) {
+                resolve({ kind: "no-memory" });
+                return;
+            }
             buffer.add(chunk);
-            if (isSmall && buffer.size() > SMALL_BODY_BYTES) {
-                isSmall = false;
+            if (large === undefined && size > SMALL_BODY_BYTES && !isEnlarging) {
+                isEnlarging = true;
                 void enlarge();
             }
         });
-        req.on("end", () => resolve({ kind: "read", body: buffer.take(), release }));
+        req.on("end", () => {
+            large?.shrink(buffer.size());
+            resolve({ kind: "read", body: buffer.take(), release });
+        });
         req.on("error", () => resolve({ kind: "broken-off" }));
         req.on("close", () => resolve({ kind: "broken-off" }));
     });
