Serve configurations with tenants, public routes and downloads

Callers of an installation with tenants were served nothing: one resource of type tenants, or one route of kind download, made the whole configuration malformed. Tenants are now decoded as workspaces, whose keys are kept as digests only; a request needs a known key unless its route is public, and the endpoint gets the workspace's name in place of the key. A relayed request carries the key's digest.

--- a/packages/gypsumstage-domain/src/traffic/Route.ts
+++ b/packages/gypsumstage-domain/src/traffic/Route.ts
@@ -21,4 +21,6 @@
     readonly isSticky: boolean;
     /** Regions in which requests may run; empty permits all. */
     readonly permittedRegions: readonly string[];
+    /** True when requests need no key of a workspace; absent in messages of builds that know no workspaces. */
+    readonly isPublic?: boolean;
 }
--- a/packages/gypsumstage-domain/src/traffic/TrafficPolicy.ts
+++ b/packages/gypsumstage-domain/src/traffic/TrafficPolicy.ts
@@ -1,6 +1,7 @@
 import type { ClientLimits } from "./ClientLimits.js";
 import type { Route } from "./Route.js";
 import type { ServicePolicy } from "./ServicePolicy.js";
+import type { Workspace } from "./Workspace.js";
 
 /** One accepted configuration of routes and services. */
 export interface TrafficPolicy {
@@ -9,4 +10,6 @@
     readonly routes: readonly Route[];
     readonly services: readonly ServicePolicy[];
     readonly limits: ClientLimits;
+    /** The customers; without any, requests need no key. Absent in messages of builds that know no workspaces. */
+    readonly workspaces?: readonly Workspace[];
 }
--- a/packages/gypsumstage-instance/src/HeaderCodec.ts
+++ b/packages/gypsumstage-instance/src/HeaderCodec.ts
@@ -1,5 +1,6 @@
 import type { ResponseFacts } from "@gypsumstage/steering/traffic/ResponseFacts";
 import type { IncomingHttpHeaders } from "node:http";
+import type { UpstreamRequest } from "./upstream/UpstreamRequest.js";
 
 /** Translates between the platform's header fields and the values that they carry. */
 export interface HeaderCodec {
@@ -11,7 +12,17 @@
         readonly objectKey: string | undefined;
         /** Time until the caller's deadline, in milliseconds; undefined when it is absent or not a number. */
         readonly remainingMs: number | undefined;
+        /** Key of the caller's workspace; undefined when the header is absent. It must not be passed on or logged. */
+        readonly key: string | undefined;
     };
+    /**
+     * Returns a caller's headers as an endpoint may see them: without the key, and with the name of the workspace, undefined
+     * for none, in place of whatever the caller stated.
+     */
+    readonly replaceCredentials: (
+        headers: UpstreamRequest["headers"],
+        workspaceName: string | undefined,
+    ) => UpstreamRequest["headers"];
     /** Returns the headers that are added to a request to an endpoint; `remainingMs` is the time left. */
     readonly upstreamHeaders: (endpointId: string, remainingMs: number) => Readonly<Record<string, string>>;
     /** Returns the headers that are added to a request to another instance; `remainingMs` is the time left. */
--- a/packages/gypsumstage-instance/src/__tests__/unit/createTestContext.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createTestContext.ts
@@ -108,6 +108,8 @@
             objectKey: "17",
             callerDeadlineAtMs: undefined,
             arrivedAtMs: 0,
+            keyDigest: undefined,
+            workspace: undefined,
             relayed: undefined,
             fingerprint: createRequestFingerprint(upstreamRequest),
         },
--- a/packages/gypsumstage-instance/src/__tests__/unit/relays.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/relays.test.ts
@@ -77,6 +77,7 @@
         "gypsumstage-attempts-left": "2",
     };
     assert.deepEqual(readRelayedRequest(headers), { policyVersion: 7, service: "desk", attemptsLeft: 2 });
+    assert.equal(readRelayedRequest({ ...headers, "gypsumstage-key-digest": "d-1" })?.keyDigest, "d-1");
     assert.equal(readRelayedRequest({ ...headers, "gypsumstage-attempts-left": "none" }), undefined);
 });
 
--- a/packages/gypsumstage-instance/src/relay/RELAY_HEADERS.ts
+++ b/packages/gypsumstage-instance/src/relay/RELAY_HEADERS.ts
@@ -6,6 +6,8 @@
     service: "gypsumstage-service",
     /** In requests: endpoints to which the request may still be sent. */
     attemptsLeft: "gypsumstage-attempts-left",
+    /** In requests: digest of the key of the caller's workspace; absent when the caller sent none. */
+    keyDigest: "gypsumstage-key-digest",
     /** In responses: the kind of the reply. */
     replyKind: "gypsumstage-reply",
     /** In responses of endpoints: 0 when only the end of the endpoint's connection ended the body. */
--- a/packages/gypsumstage-instance/src/relay/RelayedRequest.ts
+++ b/packages/gypsumstage-instance/src/relay/RelayedRequest.ts
@@ -6,4 +6,6 @@
     readonly service: string;
     /** Number of endpoints to which the request may still be sent. */
     readonly attemptsLeft: number;
+    /** Digest of the key of the caller's workspace; absent when the caller sent none. */
+    readonly keyDigest?: string;
 }
--- a/packages/gypsumstage-instance/src/relay/createRelays.ts
+++ b/packages/gypsumstage-instance/src/relay/createRelays.ts
@@ -73,6 +73,7 @@
                     [RELAY_HEADERS.policyVersion]: String(policyVersion()),
                     [RELAY_HEADERS.service]: service,
                     [RELAY_HEADERS.attemptsLeft]: String(attemptsLeft),
+                    ...(req.keyDigest === undefined ? {} : { [RELAY_HEADERS.keyDigest]: req.keyDigest }),
                 },
                 body: req.body,
             });
--- a/packages/gypsumstage-instance/src/relay/readRelayedRequest.ts
+++ b/packages/gypsumstage-instance/src/relay/readRelayedRequest.ts
@@ -7,6 +7,7 @@
     [RELAY_HEADERS.policyVersion]: z.coerce.number(),
     [RELAY_HEADERS.service]: z.string().min(1),
     [RELAY_HEADERS.attemptsLeft]: z.coerce.number().int().positive(),
+    [RELAY_HEADERS.keyDigest]: z.string().optional(),
 });
 
 /**
@@ -17,11 +18,13 @@
  */
 export const readRelayedRequest = (headers: IncomingHttpHeaders): RelayedRequest | undefined => {
     const parsed = schema.safeParse(headers);
+    const keyDigest = parsed.data?.[RELAY_HEADERS.keyDigest];
     return parsed.success
         ? {
             policyVersion: parsed.data[RELAY_HEADERS.policyVersion],
             service: parsed.data[RELAY_HEADERS.service],
             attemptsLeft: parsed.data[RELAY_HEADERS.attemptsLeft],
+            ...(keyDigest === undefined ? {} : { keyDigest }),
         }
         : undefined;
 };
--- a/packages/gypsumstage-instance/src/request/CallerRequest.ts
+++ b/packages/gypsumstage-instance/src/request/CallerRequest.ts
@@ -1,3 +1,4 @@
+import type { Workspace } from "@gypsumstage/domain/traffic/Workspace";
 import type { RelayedRequest } from "../relay/RelayedRequest.js";
 import type { UpstreamRequest } from "../upstream/UpstreamRequest.js";
 import type { RequestFingerprint } from "./RequestFingerprint.js";
@@ -13,6 +14,10 @@
     readonly arrivedAtMs: number;
     /** The same for each repeat of the request, whatever its identifier. */
     readonly fingerprint: RequestFingerprint;
+    /** Digest of the key of the caller's workspace; undefined when the caller sent none. */
+    readonly keyDigest: string | undefined;
+    /** The workspace for which the request runs; undefined when it needs none. */
+    readonly workspace: Workspace | undefined;
     /** Set when another instance passed the request on; it is not passed on again. */
     readonly relayed: RelayedRequest | undefined;
 }
--- a/packages/gypsumstage-instance/src/request/createRequestHandler.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestHandler.ts
@@ -1,30 +1,24 @@
-import type { Route } from "@gypsumstage/domain/traffic/Route";
 import { describeError } from "@gypsumstage/shared/describeError";
-import { dropHopByHopHeaders } from "@gypsumstage/shared/dropHopByHopHeaders";
 import { findHeadFault } from "@gypsumstage/shared/findHeadFault";
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import { waitForNextPoll } from "@gypsumstage/shared/waitForNextPoll";
 import { matchRoute } from "@gypsumstage/steering/traffic/matchRoute";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { InstancePhase } from "../InstancePhase.js";
-import { readRelayedRequest } from "../relay/readRelayedRequest.js";
-import { RELAY_HEADERS } from "../relay/RELAY_HEADERS.js";
-import type { RelayedRequest } from "../relay/RelayedRequest.js";
 import { toRelayHeaders } from "../relay/toRelayHeaders.js";
 import type { ReplyLabels } from "../ReplyLabels.js";
-import type { UpstreamRequest } from "../upstream/UpstreamRequest.js";
-import { createRequestFingerprint } from "./createRequestFingerprint.js";
+import { getRequestedHost } from "./getRequestedHost.js";
 import type { LabelledReply } from "./LabelledReply.js";
 import { readBody } from "./readBody.js";
 import type { Reply } from "./Reply.js";
 import type { RequestContext } from "./RequestContext.js";
 import type { RequestHandler } from "./RequestHandler.js";
+import { routeRequest } from "./routeRequest.js";
 import { serveRequest } from "./serveRequest.js";
 import { toBodyRefusal } from "./toBodyRefusal.js";
 import { writeReply } from "./writeReply.js";
 
 const STATUS_BAD_REQUEST = 400;
-const STATUS_NOT_FOUND = 404;
 const STATUS_HEADERS_TOO_LARGE = 431;
 const STARTING_RETRY_AFTER_MS = 500;
 const LEAVING_REPLY: Reply = { kind: "refused", reason: "leaving", retryAfterMs: 50 };
@@ -33,38 +27,18 @@
 const DEFAULT_MAX_BODY_BYTES = 1_048_576;
 /** Time in which a request that matches no route has to be answered. */
 const DEFAULT_TIMEOUT_MS = 10_000;
-const RELAY_REFUSED_RETRY_AFTER_MS = 200;
-const RELAY_HEADER_NAMES: ReadonlySet<string> = new Set(Object.values(RELAY_HEADERS));
 
 const UNKNOWN_LABELS: ReplyLabels = { service: "unknown", kind: "unknown" };
 
 const withUnknownLabels = (reply: Reply): LabelledReply => ({ reply, labels: UNKNOWN_LABELS });
 
-const hostOf = (req: IncomingMessage): string => (req.headers.host ?? "").replace(/:\d+$/, "").toLowerCase();
-
 const countHeaderBytes = (req: IncomingMessage): number =>
     req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 
-const dropRelayHeaders = (headers: UpstreamRequest["headers"]): UpstreamRequest["headers"] =>
-    Object.fromEntries(Object.entries(headers).filter(([name]) => !RELAY_HEADER_NAMES.has(name)));
-
-const findRelayRefusal = (relayed: RelayedRequest | undefined, policyVersion: number): string | undefined => {
-    if (relayed === undefined) {
-        return "relay-malformed";
-    }
-    return policyVersion < relayed.policyVersion ? "policy-behind" : undefined;
-};
-
 /** Returns the reply with its length stated, as the whole body is there. */
 const toFramedReply = (reply: Reply): Reply =>
     reply.kind === "relayed" ? { ...reply, isEndStated: true } : reply;
 
-/** Returns the route with no more attempts than the instance that passed the request on has left. */
-const limitAttempts = (route: Route, relayed: RelayedRequest | undefined): Route =>
-    relayed === undefined
-        ? route
-        : { ...route, maxAttempts: Math.min(route.maxAttempts, relayed.attemptsLeft) };
-
 /**
  * Creates the handler of callers' requests: it reads the body, checks the request against the limits, matches
  * it to a route, serves it and writes the reply.
@@ -86,48 +60,14 @@
         callerDisconnect: Promise<void>,
         arrivedAtMs: number,
     ): Promise<LabelledReply> | LabelledReply => {
-        const path = req.url ?? "/";
-        const { policy } = ctx.view();
-        const relayed = sender === "instance" ? readRelayedRequest(req.headers) : undefined;
-        const refusal = sender === "instance" ? findRelayRefusal(relayed, policy?.version ?? 0) : undefined;
-        if (refusal !== undefined) {
-            return withUnknownLabels({
-                kind: "refused",
-                reason: refusal,
-                retryAfterMs: RELAY_REFUSED_RETRY_AFTER_MS,
-            });
-        }
-        const route = matchRoute(policy?.routes ?? [], hostOf(req), path);
-        if (route === undefined) {
-            return withUnknownLabels({ kind: "rejected", reason: "no-route", status: STATUS_NOT_FOUND });
-        }
-        const metadata = ctx.headerCodec.readRequest(req.headers);
-        const upstreamRequest: UpstreamRequest = {
-            method: req.method ?? "GET",
-            path,
-            headers: dropRelayHeaders(dropHopByHopHeaders(req.headers)),
-            body,
-        };
-        return serveRequest(
-            ctx,
-            {
-                ...upstreamRequest,
-                fingerprint: createRequestFingerprint(upstreamRequest),
-                id: metadata.requestId,
-                objectKey: route.isSticky ? metadata.objectKey : undefined,
-                callerDeadlineAtMs: metadata.remainingMs === undefined
-                    ? undefined
-                    : arrivedAtMs + metadata.remainingMs,
-                arrivedAtMs,
-                relayed,
-            },
-            limitAttempts(route, relayed),
-            callerDisconnect,
-        );
+        const routed = routeRequest(ctx, req, body, arrivedAtMs, sender);
+        return routed.kind === "routed"
+            ? serveRequest(ctx, routed.req, routed.route, callerDisconnect)
+            : withUnknownLabels(routed);
     };
     /** Returns when the request has to be answered, on the monotonic clock. */
     const findDueAt = (req: IncomingMessage, arrivedAtMs: number): number => {
-        const route = matchRoute(ctx.view().policy?.routes ?? [], hostOf(req), req.url ?? "/");
+        const route = matchRoute(ctx.view().policy?.routes ?? [], getRequestedHost(req), req.url ?? "/");
         const timeoutMs = route?.timeoutMs ?? DEFAULT_TIMEOUT_MS;
         const { remainingMs = timeoutMs } = ctx.headerCodec.readRequest(req.headers);
         return arrivedAtMs + Math.min(timeoutMs, remainingMs);
--- a/packages/gypsumstage-instance/src/request/createServeEventHandler.ts
+++ b/packages/gypsumstage-instance/src/request/createServeEventHandler.ts
@@ -1,5 +1,6 @@
 import type { Route } from "@gypsumstage/domain/traffic/Route";
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import { isSafeKind } from "@gypsumstage/steering/traffic/isSafeKind";
 import type { AttemptSet } from "./AttemptSet.js";
 import type { FinishedAttempt } from "./FinishedAttempt.js";
 import { isStarted } from "./isStarted.js";
@@ -46,7 +47,7 @@
     const canRetry = (): boolean =>
         attempts.sentCount() < route.maxAttempts
         && deadlineAtMs - monotonicNow() > MIN_REMAINING_MS
-        && (route.kind === "safe" || !attempts.mayHaveRun());
+        && (isSafeKind(route.kind) || !attempts.mayHaveRun());
     const endWithoutResponse = (reason: string, isTimeout: boolean): Reply => {
         attempts.abort();
         if (errorReply !== undefined) {
@@ -89,7 +90,7 @@
         if (attempt.classification.kind !== "final") {
             return retryOrEnd(attempt);
         }
-        if (attempt.classification.isError && route.kind === "safe") {
+        if (attempt.classification.isError && isSafeKind(route.kind)) {
             errorReply = toReply(attempt);
             return retryOrEnd(attempt);
         }
--- a/packages/gypsumstage-instance/src/request/serveRequest.ts
+++ b/packages/gypsumstage-instance/src/request/serveRequest.ts
@@ -1,6 +1,7 @@
 import type { Route } from "@gypsumstage/domain/traffic/Route";
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import { endsBefore } from "@gypsumstage/steering/traffic/endsBefore";
+import { isSafeKind } from "@gypsumstage/steering/traffic/isSafeKind";
 import type { CallerRequest } from "./CallerRequest.js";
 import { createAttemptSet } from "./createAttemptSet.js";
 import { createServeEventHandler } from "./createServeEventHandler.js";
@@ -91,7 +92,7 @@
         unregisterStop = ctx.stopSchedule.registerEndListener(() => resolve({ kind: "stopping" }));
     });
     const handleEvent = createServeEventHandler(attempts, route, service, deadlineAtMs, ctx.retryBudget);
-    let isHedgePending = route.kind === "safe";
+    let isHedgePending = isSafeKind(route.kind);
     const nextEvent = (): Promise<ServeEvent> =>
         Promise.race([
             ...attempts.running().map(each =>
--- /dev/null
+++ b/packages/gypsumstage-shared/src/computeKeyDigest.ts
@@ -0,0 +1,9 @@
+import { createHash } from "node:crypto";
+
+/**
+ * Computes the digest under which a caller's key is kept and compared, so that the key itself is stored nowhere.
+ *
+ * @param key - the key as the caller sent it
+ * @returns its SHA-256, base64url
+ */
+export const computeKeyDigest = (key: string): string => createHash("sha256").update(key).digest("base64url");
