Ignore carried endpoints whose entry the restored store has removed

Cause: an instance that lists a restored store carries a later run of an endpoint without a time limit. When the endpoint leaves and another instance lists the store afterwards and fetches from the first, which lags behind, the record seems new there and nothing ends it any more. Change: mergeCarried ignores an endpoint that is carried without a time limit when the own copy has no record of that name; the other instance's stored records are applied first, so the name was removed in this era. Ruled out: a second restore is not needed for the fault; removals cannot tell, as the copy was listed after it.

--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/storeEras.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/storeEras.test.ts
@@ -163,6 +163,20 @@
     assert.deepEqual(valuesInForce(fetchFrom(others, cutOff)).get("main"), policy(7));
 });
 
+test("an endpoint that left after the restore is not taken over from an instance that lags behind", () => {
+    const copy = write(EMPTY_STORE, "e1", endpoint("e1", 2, false));
+    const lost = write(copy, "e1", endpoint("e1", 4, false));
+    const restored = restore(lost, copy);
+    const lagging = list(list(EMPTY_TOPIC, lost), restored);
+    assert.deepEqual(valuesInForce(lagging).get("e1"), endpoint("e1", 4, false));
+    const left = write(restored, "e1", undefined);
+    const started = fetchFrom(list(EMPTY_TOPIC, left), lagging);
+    assert.equal(valuesInForce(started).size, 0);
+    // An instance that still carries an earlier run for a limited time gets no later run without limit either.
+    const between = list(EMPTY_TOPIC, write(copy, "e1", endpoint("e1", 3, false)));
+    assert.equal(valuesInForce(pass(fetchFrom(list(between, left), lagging), LATER_MS)).size, 0);
+});
+
 test("an endpoint that is listed again after its entry was removed gets requests once its entry outlives a silent one", () => {
     const copy = write(EMPTY_STORE, "e1", endpoint("e1", 4, false));
     const lost = write(copy, "e1", undefined);
--- a/packages/gypsumstage-steering/src/traffic/mergeCarried.ts
+++ b/packages/gypsumstage-steering/src/traffic/mergeCarried.ts
@@ -9,7 +9,17 @@
     return hasLeft || state.removals.has(record.name);
 };
 
+/**
+ * Returns whether the store removed an object in this era, after the listing of the instance that carries its record. An
+ * endpoint is carried without a time limit only in place of a stored record, and an update brings the stored records first.
+ */
+const wasRemovedInEra = (state: TopicState, { record, untilMs }: CarriedRecord): boolean =>
+    record.value.kind === "endpoint" && untilMs === undefined && !state.records.has(record.name);
+
 const isLater = (state: TopicState, candidate: CarriedRecord): boolean => {
+    if (wasRemovedInEra(state, candidate)) {
+        return false;
+    }
     const known = state.carried.get(candidate.record.name)?.record
         ?? state.records.get(candidate.record.name);
     return known === undefined
