Let requests wait in the instance when the slots of a service do not suffice

Requests of different urgency, and of many workspaces, queued first come first served at the endpoints, where they cannot be reordered, cancelled or refused. Where the configuration has workspaces, or gives the routes to one service different priorities, a request without room now waits in its instance: ordered by urgency with ageing, by whether it can be on time, by recent use of its workspace and by the time left; refused with a spread Retry-After once a response before its deadline is impossible. Less urgent requests take free slots only and do not fill the endpoints' queues. Other configurations are served as before.

Ruled out: a queue shared by instances and reserved slots for each kind, see docs/design/admission.md.

--- a/packages/gypsumstage-instance/src/InstanceGauges.ts
+++ b/packages/gypsumstage-instance/src/InstanceGauges.ts
@@ -10,6 +10,8 @@
     readonly copyAgeMs: number | undefined;
     /** Retries and hedges that the budget still allows, by service. */
     readonly retriesLeft: Readonly<Record<string, number>>;
+    /** Requests that wait in this instance, by service; services at which none ever waited are left out. */
+    readonly queued: Readonly<Record<string, number>>;
     readonly suspectRequests: number;
     /** Number of services to whose endpoints no connection can be opened. */
     readonly cutServices: number;
--- a/packages/gypsumstage-instance/src/InstanceMetrics.ts
+++ b/packages/gypsumstage-instance/src/InstanceMetrics.ts
@@ -8,6 +8,8 @@
     readonly recordReply: (reply: Reply, labels: ReplyLabels, tookMs: number) => void;
     /** Records the time from a request's arrival to its first attempt at an endpoint. */
     readonly recordWait: (service: string, waitedMs: number) => void;
+    /** Records how long a request waited for its turn at a service, and what ended that. */
+    readonly recordQueueWait: (service: string, result: string, waitedMs: number) => void;
     /** Counts an attempt at an endpoint that is known to have stated a rate limit. */
     readonly countRateLimitedAttempt: (service: string) => void;
     /** Counts a permit for a request to a rate-limited endpoint. */
--- a/packages/gypsumstage-instance/src/__tests__/unit/createTestContext.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createTestContext.ts
@@ -83,6 +83,7 @@
         rateLimits: createEndpointRateLimits(id => view().endpoints.get(id), log),
         permits,
         suspects: createSuspectRequests(() => false, log),
+        admission: { isEnabled: () => false, endpointQueueLimit: () => undefined, wake: () => undefined },
         retryBudget: { tryTake: () => true },
         localPrimaryShare: () => 1,
         regionShiftLimiter: { allows: () => true, recordPlacement: () => undefined },
--- a/packages/gypsumstage-instance/src/createInstanceMetrics.ts
+++ b/packages/gypsumstage-instance/src/createInstanceMetrics.ts
@@ -37,15 +37,20 @@
     return gauge;
 };
 
-const createRetriesGauge = (registry: Registry, readGauges: () => InstanceGauges): Gauge => {
+const createServiceGauge = (
+    registry: Registry,
+    name: string,
+    help: string,
+    readCounts: () => Readonly<Record<string, number>>,
+): Gauge => {
     const gauge: Gauge = new Gauge({
-        name: "gypsumstage_repeats_left",
-        help: "Second attempts that this instance may still send within the window, by service",
+        name,
+        help,
         labelNames: ["service"],
         registers: [registry],
         collect: () => {
             gauge.reset();
-            for (const [service, count] of Object.entries(readGauges().retriesLeft)) {
+            for (const [service, count] of Object.entries(readCounts())) {
                 gauge.set({ service }, count);
             }
         },
@@ -90,6 +95,11 @@
         "Time of attempts at endpoints, by service and what came of them",
         ["service", "verdict"],
     );
+    const queueWaits = createHistogram(
+        "gypsumstage_queue_seconds",
+        "Time that requests waited in this instance for a slot, by service and what ended the wait",
+        ["service", "result"],
+    );
     const rateLimitedAttempts = new Counter({
         name: "gypsumstage_rate_limited_attempts_total",
         help: "Attempts at endpoints that had stated a rate limit, by service",
@@ -137,7 +147,18 @@
         registers: [registry],
     });
     createStateGauge(registry, readGauges);
-    createRetriesGauge(registry, readGauges);
+    createServiceGauge(
+        registry,
+        "gypsumstage_repeats_left",
+        "Second attempts that this instance may still send within the window, by service",
+        () => readGauges().retriesLeft,
+    );
+    createServiceGauge(
+        registry,
+        "gypsumstage_queue_length",
+        "Requests that wait in this instance for a slot, by service",
+        () => readGauges().queued,
+    );
     return {
         registry,
         recordReply: (reply, labels, tookMs) => {
@@ -147,6 +168,8 @@
             latency.observe({ service, kind, outcome: reply.kind }, tookMs / MS_PER_SECOND);
         },
         recordWait: (service, waitedMs) => waits.observe({ service }, waitedMs / MS_PER_SECOND),
+        recordQueueWait: (service, result, waitedMs) =>
+            queueWaits.observe({ service, result }, waitedMs / MS_PER_SECOND),
         countRateLimitedAttempt: service => rateLimitedAttempts.inc({ service }),
         countPermit: (service, result) => permits.inc({ service, result }),
         countRelay: (direction, result) => relays.inc({ direction, result }),
--- a/packages/gypsumstage-instance/src/request/AttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/AttemptSet.ts
@@ -9,6 +9,8 @@
      * the endpoint is rate-limited.
      */
     readonly startNext: () => Promise<AttemptStart>;
+    /** Whether one of the endpoints that had no room at the last choice may have some now, or others may be candidates. */
+    readonly mayHaveRoom: () => boolean;
     /**
      * Does the same for a hedge: only at an endpoint with a free slot and without a rate limit, only within the retry
      * budget, and not if an endpoint ended while the request was in flight there.
--- a/packages/gypsumstage-instance/src/request/AttemptStart.ts
+++ b/packages/gypsumstage-instance/src/request/AttemptStart.ts
@@ -9,5 +9,9 @@
     | { readonly kind: "rate-limited"; readonly retryAfterMs: number; }
     /** Endpoints ended while the request was in flight there. */
     | { readonly kind: "ends-endpoints"; readonly retryAfterMs: number; }
+    /** The request waited for its turn and will not get it, or too many wait. */
+    | { readonly kind: "queue-late" | "queue-full"; readonly retryAfterMs: number; }
+    /** The instance stopped while the request waited for its turn. */
+    | { readonly kind: "leaving"; readonly retryAfterMs: number; }
     /** The caller left, or the request ended, before the attempt could be sent. */
     | { readonly kind: "abandoned"; };
--- a/packages/gypsumstage-instance/src/request/RequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/RequestContext.ts
@@ -1,5 +1,6 @@
 import type { Log } from "@gypsumstage/shared/Log";
 import type { FleetView } from "@gypsumstage/steering/traffic/FleetView";
+import type { Admission } from "../admission/Admission.js";
 import type { HeaderCodec } from "../HeaderCodec.js";
 import type { InstanceMetrics } from "../InstanceMetrics.js";
 import type { PeerExchange } from "../peers/PeerExchange.js";
@@ -35,6 +36,7 @@
     readonly departures: LeavingEndpoints;
     readonly permits: RequestPermits;
     readonly suspects: SuspectRequests;
+    readonly admission: Admission;
     readonly retryBudget: RetryBudget;
     readonly bodyMemory: BodyMemory;
     readonly chooseService: ServiceChooser;
--- a/packages/gypsumstage-instance/src/request/createAttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/createAttemptSet.ts
@@ -3,9 +3,11 @@
 import type { Placement } from "@gypsumstage/steering/traffic/Placement";
 import type { PlacementCandidate } from "@gypsumstage/steering/traffic/PlacementCandidate";
 import { placeRequest } from "@gypsumstage/steering/traffic/placeRequest";
+import { toAdmissionRequest } from "../admission/toAdmissionRequest.js";
 import type { AttemptSet } from "./AttemptSet.js";
 import type { AttemptStart } from "./AttemptStart.js";
 import type { CallerRequest } from "./CallerRequest.js";
+import { createRoomCheck } from "./createRoomCheck.js";
 import { listPlacementCandidates } from "./listPlacementCandidates.js";
 import type { PlacementTrace } from "./PlacementTrace.js";
 import type { RequestContext } from "./RequestContext.js";
@@ -44,6 +46,8 @@
     const triedRelays = new Set<string>();
     const running = new Map<string, RunningAttempt>();
     const placements: PlacementTrace[] = [];
+    const admissionRequest = toAdmissionRequest(req, route, deadlineAtMs);
+    const roomCheck = createRoomCheck(ctx);
     let sent = 0;
     let unsent = 0;
     let mayHaveRun = false;
@@ -67,9 +71,12 @@
     const choosePlacement = (candidates: readonly PlacementCandidate[]): Placement => {
         const typicalMs = ctx.tracker.typicalMs(service, route.targetLatencyMs);
         const remainingMs = deadlineAtMs - monotonicNow();
+        const queueLimit = ctx.admission.endpointQueueLimit(service, admissionRequest);
         const allowed = candidates.filter(candidate => ctx.regionShiftLimiter.allows(candidate.region));
-        const placement = placeRequest(allowed, typicalMs, remainingMs);
-        return placement.kind === "placed" ? placement : placeRequest(candidates, typicalMs, remainingMs);
+        const placement = placeRequest(allowed, typicalMs, remainingMs, queueLimit);
+        return placement.kind === "placed"
+            ? placement
+            : placeRequest(candidates, typicalMs, remainingMs, queueLimit);
     };
     /** Sends the request and returns true, unless the endpoint wants none any more. */
     const start = (placement: Placement, candidates: readonly PlacementCandidate[]): boolean => {
@@ -87,10 +94,9 @@
         }
         tried.add(endpoint.id);
         ctx.regionShiftLimiter.recordPlacement(endpoint.region);
-        running.set(
-            endpoint.id,
-            startAttempt(ctx, req, endpoint, key, deadlineAtMs, route.targetLatencyMs),
-        );
+        const attempt = startAttempt(ctx, req, endpoint, key, deadlineAtMs, route.targetLatencyMs);
+        running.set(endpoint.id, attempt);
+        void attempt.finished.then(() => ctx.admission.wake(service));
         sent += 1;
         return true;
     };
@@ -133,6 +139,7 @@
             const candidates = listPlacementCandidates(ctx, route, service, key, tried);
             const placement = choosePlacement(candidates);
             if (placement.kind !== "placed") {
+                roomCheck.record(candidates);
                 return placement.kind === "no-endpoint" ? explainNoEndpoint() : placement;
             }
             const isPermitted = await takePermit(placement);
@@ -166,6 +173,7 @@
     };
     return {
         startNext,
+        mayHaveRoom: roomCheck.mayHaveRoom,
         startHedge: () => {
             if (ctx.reach.isCut(service)) {
                 startRelay(() =>
--- a/packages/gypsumstage-instance/src/request/createRequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestContext.ts
@@ -1,6 +1,7 @@
 import type { Log } from "@gypsumstage/shared/Log";
 import type { FleetView } from "@gypsumstage/steering/traffic/FleetView";
 import type { PeerReport } from "@gypsumstage/steering/traffic/PeerReport";
+import { createAdmission } from "../admission/createAdmission.js";
 import type { Coordination } from "../Coordination.js";
 import type { HeaderCodec } from "../HeaderCodec.js";
 import type { InstanceConfig } from "../InstanceConfig.js";
@@ -17,6 +18,9 @@
 import type { RequestContext } from "./RequestContext.js";
 import type { RetryBudget } from "./RetryBudget.js";
 
+/** Target latency that is assumed when the configuration that named the service is gone. */
+const DEFAULT_TARGET_MS = 1_000;
+
 /** The running parts of an instance that its requests use. */
 interface RequestParts {
     readonly cfg: Pick<InstanceConfig, "name" | "dataCentre" | "region" | "memoryBytes">;
@@ -42,6 +46,9 @@
     const { cfg, view, upstreams, peers, coordination, retryBudget, headerCodec, metrics, log } = parts;
     const getColdRate = (service: string): number =>
         view().policy?.services.find(each => each.name === service)?.coldRequestsPerSecond ?? 1;
+    const getTargetMs = (service: string): number =>
+        view().policy?.routes.find(route => route.targets.some(target => target.service === service))
+            ?.targetLatencyMs ?? DEFAULT_TARGET_MS;
     const listLocalReports = (): readonly PeerReport[] =>
         peers.reporting().map(peer => peer.report).filter(report => report.dataCentre === cfg.dataCentre);
     return {
@@ -71,6 +78,13 @@
         departures: coordination.departures,
         permits: coordination.permits,
         suspects: coordination.suspects,
+        admission: createAdmission({
+            view,
+            workMs: service => upstreams.tracker.typicalMs(service, getTargetMs(service)),
+            stopSchedule: parts.stopSchedule,
+            metrics,
+            log,
+        }),
         retryBudget,
         localPrimaryShare: createLocalPrimaryShares(cfg.region, view, () => [
             { region: cfg.region, demand: retryBudget.demand() },
--- a/packages/gypsumstage-instance/src/request/serveRequest.ts
+++ b/packages/gypsumstage-instance/src/request/serveRequest.ts
@@ -12,6 +12,7 @@
 import type { Reply } from "./Reply.js";
 import type { RequestContext } from "./RequestContext.js";
 import type { ServeEvent } from "./ServeEvent.js";
+import { startFirstAttempt } from "./startFirstAttempt.js";
 
 /** Time after the deadline during which an endpoint's response is still accepted. */
 const LATE_RESPONSE_GRACE_MS = 120;
@@ -69,7 +70,15 @@
     }
     const attempts = createAttemptSet(ctx, req, route, service, key, deadlineAtMs);
     void callerDisconnect.then(attempts.abort);
-    const first = await attempts.startNext();
+    const first = await startFirstAttempt(
+        ctx,
+        req,
+        route,
+        service,
+        attempts,
+        deadlineAtMs,
+        callerDisconnect,
+    );
     if (first.kind === "abandoned") {
         return { reply: { kind: "abandoned" }, labels };
     }
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -115,6 +115,7 @@
         storeAgeMs: findStoreAge(storeAgeMs(), peers.live(), monotonicNow()),
         copyAgeMs: copyAgeMs(),
         retriesLeft: retryBudget.remaining(),
+        queued: ctx.admission.lengths(),
         cutServices: reach.cutServices().length,
         suspectRequests: coordination.suspects.size(),
     }));
