--- a/packages/gypsumstage-instance/src/__tests__/unit/createAdmissionQueue.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createAdmissionQueue.test.ts
@@ -31,6 +31,7 @@
     const results: string[] = [];
     let free = 0;
     const queue = createAdmissionQueue({
+        rule: () => ({ mostUrgent: 1 }),
         workMs: () => 100,
         stopSchedule,
         onEnd: result => results.push(result),
--- a/packages/gypsumstage-instance/src/admission/createAdmission.ts
+++ b/packages/gypsumstage-instance/src/admission/createAdmission.ts
@@ -14,6 +14,9 @@
 /** Results of a wait that end it with a refusal by the queue. */
 const REFUSALS: ReadonlySet<string> = new Set(["queue-late", "queue-full"]);
 
+/** For requests that still wait when a configuration without admission for their service comes into force. */
+const EVEN_RULE: AdmissionRule = { mostUrgent: 0 };
+
 /** What admission uses of its instance. */
 interface AdmissionParts {
     readonly view: () => Pick<FleetView, "policy">;
@@ -39,6 +42,7 @@
     const createQueue = (service: string): AdmissionQueue => {
         const logRefusal = createRefusalLog(service, parts.log);
         const queue = createAdmissionQueue({
+            rule: () => findRule(service) ?? EVEN_RULE,
             workMs: () => parts.workMs(service),
             stopSchedule: parts.stopSchedule,
             onEnd: (result, waitedMs) => {
@@ -54,8 +58,12 @@
     return {
         isEnabled: service => findRule(service) !== undefined,
         start: (service, request) => (queues.get(service) ?? createQueue(service)).start(request),
-        endpointQueueLimit: (service, request) =>
-            limitEndpointQueue(findRule(service), request, monotonicNow()),
+        endpointQueueLimit: (service, request) => {
+            const rule = findRule(service);
+            return rule === undefined
+                ? undefined
+                : limitEndpointQueue(rule, request, parts.workMs(service), monotonicNow());
+        },
         wake: service => queues.get(service)?.wake(),
         lengths: () => Object.fromEntries([...queues].map(([service, queue]) => [service, queue.length()])),
     };
--- a/packages/gypsumstage-instance/src/admission/createAdmissionQueue.ts
+++ b/packages/gypsumstage-instance/src/admission/createAdmissionQueue.ts
@@ -1,4 +1,5 @@
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import type { AdmissionRule } from "@gypsumstage/steering/traffic/AdmissionRule";
 import { decideAdmission } from "@gypsumstage/steering/traffic/decideAdmission";
 import { orderAdmissions } from "@gypsumstage/steering/traffic/orderAdmissions";
 import { setImmediate } from "node:timers/promises";
@@ -20,6 +21,7 @@
 
 /** What a queue uses of its instance. */
 interface QueueParts {
+    readonly rule: () => AdmissionRule;
     /** Typical time of a request of the service. */
     readonly workMs: () => number;
     readonly stopSchedule: StopSchedule;
@@ -88,7 +90,13 @@
     const runPass = async (): Promise<void> => {
         const answerAtMs = parts.stopSchedule.answerAtMs() ?? Infinity;
         const workMs = parts.workMs();
-        const ordered = orderAdmissions([...entries.keys()], use.read, workMs, monotonicNow());
+        const ordered = orderAdmissions(
+            [...entries.keys()],
+            parts.rule(),
+            use.read,
+            workMs,
+            monotonicNow(),
+        );
         let ahead = 0;
         for (const request of ordered) {
             if (isWanted) {
--- a/packages/gypsumstage-instance/src/request/createAttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/createAttemptSet.ts
@@ -1,5 +1,6 @@
 import type { Route } from "@gypsumstage/domain/traffic/Route";
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import { holdBackPlacement } from "@gypsumstage/steering/traffic/holdBackPlacement";
 import type { Placement } from "@gypsumstage/steering/traffic/Placement";
 import type { PlacementCandidate } from "@gypsumstage/steering/traffic/PlacementCandidate";
 import { placeRequest } from "@gypsumstage/steering/traffic/placeRequest";
@@ -71,12 +72,9 @@
     const choosePlacement = (candidates: readonly PlacementCandidate[]): Placement => {
         const typicalMs = ctx.tracker.typicalMs(service, route.targetLatencyMs);
         const remainingMs = deadlineAtMs - monotonicNow();
-        const queueLimit = ctx.admission.endpointQueueLimit(service, admissionRequest);
         const allowed = candidates.filter(candidate => ctx.regionShiftLimiter.allows(candidate.region));
-        const placement = placeRequest(allowed, typicalMs, remainingMs, queueLimit);
-        return placement.kind === "placed"
-            ? placement
-            : placeRequest(candidates, typicalMs, remainingMs, queueLimit);
+        const placement = placeRequest(allowed, typicalMs, remainingMs);
+        return placement.kind === "placed" ? placement : placeRequest(candidates, typicalMs, remainingMs);
     };
     /** Sends the request and returns true, unless the endpoint wants none any more. */
     const start = (placement: Placement, candidates: readonly PlacementCandidate[]): boolean => {
@@ -137,7 +135,10 @@
     const startNextPlaced = async (): Promise<AttemptStart> => {
         for (let permits = 0; permits < MAX_PERMITS; permits++) {
             const candidates = listPlacementCandidates(ctx, route, service, key, tried);
-            const placement = choosePlacement(candidates);
+            const queueLimit = tried.size === 0
+                ? ctx.admission.endpointQueueLimit(service, admissionRequest)
+                : undefined;
+            const placement = holdBackPlacement(choosePlacement(candidates), candidates, queueLimit);
             if (placement.kind !== "placed") {
                 roomCheck.record(candidates);
                 return placement.kind === "no-endpoint" ? explainNoEndpoint() : placement;
--- a/packages/gypsumstage-steering/src/traffic/decideAdmission.ts
+++ b/packages/gypsumstage-steering/src/traffic/decideAdmission.ts
@@ -2,8 +2,8 @@
 import type { AdmissionRequest } from "./AdmissionRequest.js";
 import { computeAdmissionRetryAfter } from "./computeAdmissionRetryAfter.js";
 
-/** Requests that are tried at a time: those behind them may have candidate endpoints with free slots. */
-const MAX_TRIES = 8;
+/** Requests that are tried at a time: those behind the first may have other candidate endpoints, which have free slots. */
+const MAX_TRIES = 32;
 const MAX_WAITING = 200;
 /** Starts per second that are assumed at least, as at the start of an instance or while the service refuses all. */
 const MIN_STARTS_PER_S = 5;
--- a/packages/gypsumstage-steering/src/traffic/orderAdmissions.ts
+++ b/packages/gypsumstage-steering/src/traffic/orderAdmissions.ts
@@ -1,4 +1,5 @@
 import type { AdmissionRequest } from "./AdmissionRequest.js";
+import type { AdmissionRule } from "./AdmissionRule.js";
 import { computeAgedPriority } from "./computeAgedPriority.js";
 
 interface RankedRequest<Request> {
@@ -14,6 +15,7 @@
  * counted, so that workspaces alternate; then by the time left. Workload: more requests than slots, a noisy workspace.
  *
  * @param requests - the waiting requests
+ * @param rule - the rule of the service
  * @param workspaceUse - returns the recent starts of a workspace's requests
  * @param workMs - typical time of a request of the service
  * @param nowMs - current monotonic time
@@ -21,6 +23,7 @@
  */
 export const orderAdmissions = <Request extends AdmissionRequest>(
     requests: readonly Request[],
+    rule: AdmissionRule,
     workspaceUse: (workspace: string | undefined) => number,
     workMs: number,
     nowMs: number,
@@ -33,7 +36,7 @@
     const ranked = requests
         .map(request => ({
             request,
-            rank: computeAgedPriority(request, nowMs),
+            rank: computeAgedPriority(request, rule, nowMs),
             isLate: nowMs + workMs > request.targetAtMs ? 1 : 0,
             use: 0,
         }))
--- a/packages/gypsumstage-steering/src/traffic/placeRequest.ts
+++ b/packages/gypsumstage-steering/src/traffic/placeRequest.ts
@@ -31,8 +31,8 @@
     return totalMs / Math.max(0.1, 1 - candidate.errorShare);
 };
 
-const hasQueueSpace = (candidate: PlacementCandidate, warmFactor: number): boolean =>
-    candidate.inFlight < candidate.slots * (candidate.isWarm ? warmFactor : MAX_COLD_QUEUE_FACTOR);
+const hasQueueSpace = (candidate: PlacementCandidate): boolean =>
+    candidate.inFlight < candidate.slots * (candidate.isWarm ? MAX_WARM_QUEUE_FACTOR : MAX_COLD_QUEUE_FACTOR);
 
 /**
  * Chooses the candidate endpoint with the lowest expected cost in time. Under load close to the capacity of the
@@ -44,20 +44,18 @@
  * @param candidates - candidate endpoints of the object, the preferred one first; it is chosen at equal cost
  * @param workMs - typical latency of a request on warm data, in milliseconds
  * @param remainingMs - time until the deadline, in milliseconds
- * @param warmQueueFactor - requests per slot that an endpoint with warm data may have in flight
  * @returns the endpoint, or the reason why there is none
  */
 export const placeRequest = (
     candidates: readonly PlacementCandidate[],
     workMs: number,
     remainingMs: number,
-    warmQueueFactor = MAX_WARM_QUEUE_FACTOR,
 ): Placement => {
     if (candidates.length === 0) {
         return { kind: "no-endpoint" };
     }
     let best: { readonly candidate: PlacementCandidate; readonly costMs: number; } | undefined;
-    for (const candidate of candidates.filter(each => hasQueueSpace(each, warmQueueFactor))) {
+    for (const candidate of candidates.filter(hasQueueSpace)) {
         const costMs = expectedCostMs(candidate, workMs);
         if (best === undefined || costMs < best.costMs) {
             best = { candidate, costMs };
