Check waiting requests for room by their last candidates

The check now repeats the placement among the three candidates of the last try with their present load, and lists them anew after a second.

Ruled out: a cache of the ranking for each object, as the set of usable endpoints is part of its key.

--- a/packages/gypsumstage-instance/src/request/AttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/AttemptSet.ts
@@ -9,7 +9,7 @@
      * the endpoint is rate-limited.
      */
     readonly startNext: () => Promise<AttemptStart>;
-    /** Whether one of the endpoints that had no room at the last choice may have some now, or others may be candidates. */
+    /** Whether a first attempt may find room now, going by the candidates of the last try; cheaper than a try. */
     readonly mayHaveRoom: () => boolean;
     /**
      * Does the same for a hedge: only at an endpoint with a free slot and without a rate limit, only within the retry
--- a/packages/gypsumstage-instance/src/request/createAttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/createAttemptSet.ts
@@ -48,7 +48,6 @@
     const running = new Map<string, RunningAttempt>();
     const placements: PlacementTrace[] = [];
     const admissionRequest = toAdmissionRequest(req, route, deadlineAtMs);
-    const roomCheck = createRoomCheck(ctx);
     let sent = 0;
     let unsent = 0;
     let mayHaveRun = false;
@@ -76,6 +75,13 @@
         const placement = placeRequest(allowed, typicalMs, remainingMs);
         return placement.kind === "placed" ? placement : placeRequest(candidates, typicalMs, remainingMs);
     };
+    const chooseFirst = (candidates: readonly PlacementCandidate[]): Placement =>
+        holdBackPlacement(
+            choosePlacement(candidates),
+            candidates,
+            ctx.admission.endpointQueueLimit(service, admissionRequest),
+        );
+    const roomCheck = createRoomCheck(ctx, chooseFirst);
     /** Sends the request and returns true, unless the endpoint wants none any more. */
     const start = (placement: Placement, candidates: readonly PlacementCandidate[]): boolean => {
         const endpoint = placement.kind === "placed" ? ctx.view().endpoints.get(placement.id) : undefined;
@@ -135,10 +141,7 @@
     const startNextPlaced = async (): Promise<AttemptStart> => {
         for (let permits = 0; permits < MAX_PERMITS; permits++) {
             const candidates = listPlacementCandidates(ctx, route, service, key, tried);
-            const queueLimit = tried.size === 0
-                ? ctx.admission.endpointQueueLimit(service, admissionRequest)
-                : undefined;
-            const placement = holdBackPlacement(choosePlacement(candidates), candidates, queueLimit);
+            const placement = tried.size === 0 ? chooseFirst(candidates) : choosePlacement(candidates);
             if (placement.kind !== "placed") {
                 roomCheck.record(candidates);
                 return placement.kind === "no-endpoint" ? explainNoEndpoint() : placement;
--- a/packages/gypsumstage-instance/src/request/createRoomCheck.ts
+++ b/packages/gypsumstage-instance/src/request/createRoomCheck.ts
@@ -1,9 +1,10 @@
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import type { Placement } from "@gypsumstage/steering/traffic/Placement";
 import type { PlacementCandidate } from "@gypsumstage/steering/traffic/PlacementCandidate";
 import type { RequestContext } from "./RequestContext.js";
 
-/** After this time the candidates are listed again, as others may have come and the request has aged. */
-const MAX_CHECK_AGE_MS = 250;
+/** After this time the candidates are listed again, as others may have come. Ranking hundreds of endpoints takes 0.5 ms. */
+const MAX_CHECK_AGE_MS = 1_000;
 
 /** Candidate endpoints without room, and whether that may have changed. */
 interface RoomCheck {
@@ -12,13 +13,17 @@
 }
 
 /**
- * Creates the check whether a waiting request may find room, which spares ranking all endpoints of the service at
- * each wake-up.
+ * Creates the check whether a waiting request may find room. It goes by the candidates of the last try and their load now,
+ * which spares ranking all endpoints of the service at each wake-up.
  *
  * @param ctx - provides the load of endpoints
+ * @param place - chooses among candidates
  * @returns the check; without recorded candidates there may be room
  */
-export const createRoomCheck = (ctx: Pick<RequestContext, "tracker" | "peers">): RoomCheck => {
+export const createRoomCheck = (
+    ctx: Pick<RequestContext, "tracker" | "peers">,
+    place: (candidates: readonly PlacementCandidate[]) => Placement,
+): RoomCheck => {
     let full: readonly PlacementCandidate[] = [];
     let recordedAtMs = -Infinity;
     const inFlight = (id: string): number => ctx.tracker.inFlightAt(id) + ctx.peers.inFlight(id);
@@ -29,6 +34,6 @@
         },
         mayHaveRoom: () =>
             monotonicNow() - recordedAtMs > MAX_CHECK_AGE_MS
-            || full.some(candidate => inFlight(candidate.id) < candidate.inFlight),
+            || place(full.map(each => ({ ...each, inFlight: inFlight(each.id) }))).kind === "placed",
     };
 };
