Trust keys only while the configuration is confirmed

Cause: a revoked key was accepted for as long as an instance kept an old copy of the configuration, and a key just added was answered 401 by instances without the new copy. Change: with bounds.strictRevoke, the copy of the configuration is confirmed by reads of the store or the RPC policy.confirm, whose age counts from before this instance's own read or question, by the longest of three clocks. Keys are checked on arrival and before each attempt; without a confirmation the reply is 503, and 401 only after a read that began after the arrival. Ruled out: relying on the long watches of the followers (their age counts from before the wait, which is too old), and on unsolicited announcements (their delay is unknown).

--- a/packages/gypsumstage-instance/src/InstanceConfig.ts
+++ b/packages/gypsumstage-instance/src/InstanceConfig.ts
@@ -30,6 +30,11 @@
     readonly gracePeriodMs: number;
     /** Time in which a change of the store must be in force at all instances. */
     readonly changeBoundMs: number;
+    /**
+     * Time after which a key that the store no longer holds must not be accepted, whether or not this instance reaches the store;
+     * absent where keys are not revoked strictly.
+     */
+    readonly revokeBoundMs?: number | undefined;
     /** For how long callers may cache a lookup response. */
     readonly lookupTtlMs: number;
 }
--- a/packages/gypsumstage-instance/src/InstanceGauges.ts
+++ b/packages/gypsumstage-instance/src/InstanceGauges.ts
@@ -8,6 +8,10 @@
     readonly storeAgeMs: number | undefined;
     /** Time since this instance's copies were last known to be those of the store, in milliseconds. */
     readonly copyAgeMs: number | undefined;
+    /** Age of the latest confirmation of the configuration, in milliseconds; undefined where none is needed. */
+    readonly policyConfirmationAgeMs: number | undefined;
+    /** Whether the store holds a configuration that this instance does not accept. */
+    readonly isPolicyRejected: boolean;
     /** Retries and hedges that the budget still allows, by service. */
     readonly retriesLeft: Readonly<Record<string, number>>;
     readonly suspectRequests: number;
--- a/packages/gypsumstage-instance/src/InstanceMetrics.ts
+++ b/packages/gypsumstage-instance/src/InstanceMetrics.ts
@@ -14,6 +14,8 @@
     readonly countPermit: (service: string, result: "granted" | "denied") => void;
     /** Counts a request that was passed on to another instance, or by one, and what came of it. */
     readonly countRelay: (direction: "sent" | "received", result: string) => void;
+    /** Counts an attempt to confirm the copy of the configuration, by the store or another instance. */
+    readonly countConfirmation: (source: "store" | "instance", result: "confirmed" | "failed") => void;
     readonly recordAttempt: (service: string, classification: string, tookMs: number) => void;
     /** Records a fetch of a topic from a peer: what came of it, the records received and the time it took. */
     readonly recordTopicPull: (topic: string, result: string, records: number, tookMs: number) => void;
--- a/packages/gypsumstage-instance/src/__tests__/unit/createTestContext.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createTestContext.ts
@@ -69,6 +69,7 @@
                 return { outcome, abort: () => undefined };
             },
         },
+        keys: { findRefusal: () => undefined },
         peers: { inFlight: () => 0 },
         reach: {
             isCut: () => false,
--- a/packages/gypsumstage-instance/src/createInstanceMetrics.ts
+++ b/packages/gypsumstage-instance/src/createInstanceMetrics.ts
@@ -25,6 +25,8 @@
                 suspect_requests: gauges.suspectRequests,
                 store_age_seconds: toSeconds(gauges.storeAgeMs),
                 copy_age_seconds: toSeconds(gauges.copyAgeMs),
+                policy_confirmation_age_seconds: toSeconds(gauges.policyConfirmationAgeMs),
+                policy_rejected: gauges.isPolicyRejected ? 1 : 0,
             };
             gauge.reset();
             for (const [figure, value] of Object.entries(figures)) {
@@ -108,6 +110,12 @@
         labelNames: ["direction", "result"],
         registers: [registry],
     });
+    const confirmations = new Counter({
+        name: "gypsumstage_policy_confirmations_total",
+        help: "Attempts to confirm the copy of the configuration, by source and what came of them",
+        labelNames: ["source", "result"],
+        registers: [registry],
+    });
     const storeCalls = new Counter({
         name: "gypsumstage_store_calls_total",
         help: "Calls to the store, by topic and what came of them",
@@ -150,6 +158,7 @@
         countRateLimitedAttempt: service => rateLimitedAttempts.inc({ service }),
         countPermit: (service, result) => permits.inc({ service, result }),
         countRelay: (direction, result) => relays.inc({ direction, result }),
+        countConfirmation: (source, result) => confirmations.inc({ source, result }),
         recordAttempt: (service, classification, tookMs) =>
             attempts.observe({ service, verdict: classification }, tookMs / MS_PER_SECOND),
         recordTopicPull: (topic, result, records, tookMs) => {
--- a/packages/gypsumstage-instance/src/relay/classifyRelayOutcome.ts
+++ b/packages/gypsumstage-instance/src/relay/classifyRelayOutcome.ts
@@ -4,7 +4,13 @@
 import { readRelayReply } from "./readRelayReply.js";
 
 /** Reasons for which an instance refuses a request that another one may serve at once. */
-const OTHER_INSTANCE_REASONS: readonly string[] = ["no-endpoint", "leaving", "starting", "policy-behind"];
+const OTHER_INSTANCE_REASONS: readonly string[] = [
+    "no-endpoint",
+    "leaving",
+    "starting",
+    "policy-behind",
+    "key-unconfirmed",
+];
 const STATUS_INTERNAL_SERVER_ERROR = 500;
 
 type RelayResult = Pick<FinishedAttempt, "classification" | "reply" | "wasSent">;
--- a/packages/gypsumstage-instance/src/request/AttemptStart.ts
+++ b/packages/gypsumstage-instance/src/request/AttemptStart.ts
@@ -1,4 +1,5 @@
 import type { Placement } from "@gypsumstage/steering/traffic/Placement";
+import type { Reply } from "./Reply.js";
 
 /** What came of starting an attempt: the endpoint that it was sent to, or why it was not sent. */
 export type AttemptStart =
@@ -9,5 +10,7 @@
     | { readonly kind: "rate-limited"; readonly retryAfterMs: number; }
     /** Endpoints ended while the request was in flight there. */
     | { readonly kind: "ends-endpoints"; readonly retryAfterMs: number; }
+    /** The key of the request is not accepted any more. */
+    | { readonly kind: "key-refused"; readonly reply: Reply; }
     /** The caller left, or the request ended, before the attempt could be sent. */
     | { readonly kind: "abandoned"; };
--- a/packages/gypsumstage-instance/src/request/RequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/RequestContext.ts
@@ -2,6 +2,7 @@
 import type { FleetView } from "@gypsumstage/steering/traffic/FleetView";
 import type { HeaderCodec } from "../HeaderCodec.js";
 import type { InstanceMetrics } from "../InstanceMetrics.js";
+import type { KeyTrust } from "../keys/KeyTrust.js";
 import type { PeerExchange } from "../peers/PeerExchange.js";
 import type { RequestPermits } from "../permits/RequestPermits.js";
 import type { ReachMonitor } from "../reach/ReachMonitor.js";
@@ -28,6 +29,7 @@
     readonly tracker: EndpointTracker;
     readonly pool: UpstreamPool;
     readonly peers: PeerExchange;
+    readonly keys: KeyTrust;
     readonly coldRateLimiter: ColdRateLimiter;
     readonly reach: ReachMonitor;
     readonly relays: Relays;
--- a/packages/gypsumstage-instance/src/request/createAttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/createAttemptSet.ts
@@ -6,6 +6,7 @@
 import type { AttemptSet } from "./AttemptSet.js";
 import type { AttemptStart } from "./AttemptStart.js";
 import type { CallerRequest } from "./CallerRequest.js";
+import { isStarted } from "./isStarted.js";
 import { listPlacementCandidates } from "./listPlacementCandidates.js";
 import type { PlacementTrace } from "./PlacementTrace.js";
 import type { RequestContext } from "./RequestContext.js";
@@ -71,13 +72,15 @@
         const placement = placeRequest(allowed, typicalMs, remainingMs);
         return placement.kind === "placed" ? placement : placeRequest(candidates, typicalMs, remainingMs);
     };
-    /** Sends the request and returns true, unless the endpoint wants none any more. */
+    const isKeyRefused = (): boolean => ctx.keys.findRefusal(req) !== undefined;
+    /** Sends the request and returns true, unless the endpoint wants none any more or the key is not accepted any more. */
     const start = (placement: Placement, candidates: readonly PlacementCandidate[]): boolean => {
         const endpoint = placement.kind === "placed" ? ctx.view().endpoints.get(placement.id) : undefined;
         const health = endpoint === undefined ? undefined : ctx.tracker.health(endpoint.id);
         const hasLeft = endpoint?.isDraining || health?.isLeaving;
         if (
             endpoint === undefined || health === undefined || hasLeft || health.pausedUntilMs > monotonicNow()
+            || isKeyRefused()
         ) {
             return false;
         }
@@ -119,7 +122,7 @@
         const relay = req.relayed === undefined && attemptsLeft > 0
             ? ctx.relays.choose(route, service, triedRelays)
             : undefined;
-        if (relay === undefined || !isAllowed()) {
+        if (relay === undefined || isKeyRefused() || !isAllowed()) {
             return undefined;
         }
         triedRelays.add(relay.name);
@@ -145,7 +148,7 @@
         }
         return explainNoEndpoint();
     };
-    const startNext = async (): Promise<AttemptStart> => {
+    const startAnywhere = async (): Promise<AttemptStart> => {
         const verdict = ctx.suspects.judge(req.fingerprint, tried.size > 0);
         if (verdict.kind === "refused") {
             return { kind: "ends-endpoints", retryAfterMs: verdict.retryAfterMs };
@@ -160,6 +163,11 @@
         const isRelayed = start.kind === "no-endpoint" && ctx.reach.wasCutLately(service);
         return isRelayed ? startRelay(() => true) ?? start : start;
     };
+    const startNext = async (): Promise<AttemptStart> => {
+        const next = await startAnywhere();
+        const reply = isStarted(next) ? undefined : ctx.keys.findRefusal(req);
+        return reply === undefined ? next : { kind: "key-refused", reply };
+    };
     const needsNoPermit = (candidate: PlacementCandidate): boolean => {
         const endpoint = ctx.view().endpoints.get(candidate.id);
         return endpoint !== undefined && !ctx.permits.isNeeded(endpoint);
--- a/packages/gypsumstage-instance/src/request/createRequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestContext.ts
@@ -5,6 +5,7 @@
 import type { HeaderCodec } from "../HeaderCodec.js";
 import type { InstanceConfig } from "../InstanceConfig.js";
 import type { InstanceMetrics } from "../InstanceMetrics.js";
+import type { KeyTrust } from "../keys/KeyTrust.js";
 import type { PeerExchange } from "../peers/PeerExchange.js";
 import { createRelays } from "../relay/createRelays.js";
 import type { StopSchedule } from "../StopSchedule.js";
@@ -23,6 +24,7 @@
     readonly view: () => FleetView;
     readonly upstreams: Upstreams;
     readonly peers: PeerExchange;
+    readonly keys: KeyTrust;
     readonly coordination: Coordination;
     readonly retryBudget: RetryBudget;
     readonly regionShiftLimiter: RegionShiftLimiter;
@@ -61,6 +63,7 @@
             log,
         }),
         peers,
+        keys: parts.keys,
         coldRateLimiter: createColdRateLimiter(
             cfg.name,
             () => [cfg, ...peers.live().map(peer => peer.report)],
--- a/packages/gypsumstage-instance/src/request/createRequestHandler.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestHandler.ts
@@ -54,13 +54,13 @@
     phase: () => InstancePhase,
     sender: "caller" | "instance",
 ): RequestHandler => {
-    const routeAndServe = (
+    const routeAndServe = async (
         req: IncomingMessage,
         body: Buffer | undefined,
         callerDisconnect: Promise<void>,
         arrivedAtMs: number,
-    ): Promise<LabelledReply> | LabelledReply => {
-        const routed = routeRequest(ctx, req, body, arrivedAtMs, sender);
+    ): Promise<LabelledReply> => {
+        const routed = await routeRequest(ctx, req, body, arrivedAtMs, sender);
         return routed.kind === "routed"
             ? serveRequest(ctx, routed.req, routed.route, callerDisconnect)
             : withUnknownLabels(routed);
--- a/packages/gypsumstage-instance/src/request/routeRequest.ts
+++ b/packages/gypsumstage-instance/src/request/routeRequest.ts
@@ -2,21 +2,19 @@
 import { computeKeyDigest } from "@gypsumstage/shared/computeKeyDigest";
 import { dropHopByHopHeaders } from "@gypsumstage/shared/dropHopByHopHeaders";
 import { applyWorkspace } from "@gypsumstage/steering/traffic/applyWorkspace";
-import { authenticateRequest } from "@gypsumstage/steering/traffic/authenticateRequest";
 import { matchRoute } from "@gypsumstage/steering/traffic/matchRoute";
 import type { IncomingMessage } from "node:http";
+import { UNKNOWN_KEY_REPLY } from "../keys/UNKNOWN_KEY_REPLY.js";
 import { readRelayedRequest } from "../relay/readRelayedRequest.js";
 import { RELAY_HEADERS } from "../relay/RELAY_HEADERS.js";
 import type { RelayedRequest } from "../relay/RelayedRequest.js";
 import type { UpstreamRequest } from "../upstream/UpstreamRequest.js";
 import { createRequestFingerprint } from "./createRequestFingerprint.js";
-import { findWorkspaces } from "./findWorkspaces.js";
 import { getRequestedHost } from "./getRequestedHost.js";
 import type { Reply } from "./Reply.js";
 import type { RequestContext } from "./RequestContext.js";
 import type { RoutedRequest } from "./RoutedRequest.js";
 
-const STATUS_UNAUTHORIZED = 401;
 const STATUS_NOT_FOUND = 404;
 const RELAY_REFUSED_RETRY_AFTER_MS = 200;
 /** Only another configuration can end it. */
@@ -39,23 +37,16 @@
         ? route
         : { ...route, maxAttempts: Math.min(route.maxAttempts, relayed.attemptsLeft) };
 
-/**
- * Finds the route of a request and the workspace for which it runs.
- *
- * @param ctx - provides the view and the header codec
- * @param req - the request
- * @param body - its complete body; undefined when it has none
- * @param arrivedAtMs - when it arrived, on the monotonic clock
- * @param sender - who sends it; instances state what they decided
- * @returns the request as it is to be served, or the reply to one that may not be served
- */
-export const routeRequest = (
-    ctx: Pick<RequestContext, "view" | "headerCodec">,
+type RoutingContext = Pick<RequestContext, "view" | "headerCodec" | "keys">;
+
+/** Routes a request by the present copy of the configuration; `unconfirmed` when that is not known to be recent enough. */
+const routeByCopy = (
+    ctx: RoutingContext,
     req: IncomingMessage,
     body: Buffer | undefined,
     arrivedAtMs: number,
     sender: "caller" | "instance",
-): RoutedRequest | Reply => {
+): RoutedRequest | Reply | { readonly kind: "unconfirmed"; } => {
     const path = req.url ?? "/";
     const { policy } = ctx.view();
     const relayed = sender === "instance" ? readRelayedRequest(req.headers) : undefined;
@@ -70,9 +61,12 @@
     const metadata = ctx.headerCodec.readRequest(req.headers);
     const ownDigest = metadata.key === undefined ? undefined : computeKeyDigest(metadata.key);
     const keyDigest = sender === "instance" ? relayed?.keyDigest : ownDigest;
-    const authentication = authenticateRequest(matched, findWorkspaces(policy), keyDigest);
+    const authentication = ctx.keys.judge(matched, keyDigest, arrivedAtMs);
+    if (authentication.kind === "unconfirmed") {
+        return authentication;
+    }
     if (authentication.kind === "unknown-key") {
-        return { kind: "rejected", reason: "unknown-key", status: STATUS_UNAUTHORIZED };
+        return UNKNOWN_KEY_REPLY;
     }
     const workspace = authentication.kind === "workspace" ? authentication.workspace : undefined;
     const route = workspace === undefined ? matched : applyWorkspace(matched, workspace);
@@ -104,3 +98,30 @@
         },
     };
 };
+
+/**
+ * Finds the route of a request and the workspace for which it runs. Waits a short time for a confirmation of the configuration
+ * if its key cannot be judged without one.
+ *
+ * @param ctx - provides the view, the header codec and the trust in keys
+ * @param req - the request
+ * @param body - its complete body; undefined when it has none
+ * @param arrivedAtMs - when it arrived, on the monotonic clock
+ * @param sender - who sends it; instances state what they decided
+ * @returns the request as it is to be served, or the reply to one that may not be served
+ */
+export const routeRequest = async (
+    ctx: RoutingContext,
+    req: IncomingMessage,
+    body: Buffer | undefined,
+    arrivedAtMs: number,
+    sender: "caller" | "instance",
+): Promise<RoutedRequest | Reply> => {
+    const routed = routeByCopy(ctx, req, body, arrivedAtMs, sender);
+    if (routed.kind !== "unconfirmed") {
+        return routed;
+    }
+    await ctx.keys.confirm();
+    const confirmed = routeByCopy(ctx, req, body, arrivedAtMs, sender);
+    return confirmed.kind === "unconfirmed" ? ctx.keys.unconfirmedReply : confirmed;
+};
--- a/packages/gypsumstage-instance/src/request/serveRequest.ts
+++ b/packages/gypsumstage-instance/src/request/serveRequest.ts
@@ -73,6 +73,9 @@
     if (first.kind === "abandoned") {
         return { reply: { kind: "abandoned" }, labels };
     }
+    if (first.kind === "key-refused") {
+        return { reply: first.reply, labels };
+    }
     if (!isStarted(first)) {
         const retryAfterMs = first.kind === "no-endpoint" ? NO_ENDPOINT_RETRY_AFTER_MS : first.retryAfterMs;
         return { reply: { kind: "refused", reason: first.kind, retryAfterMs }, labels };
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -4,6 +4,7 @@
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import { findStoreAge } from "@gypsumstage/steering/traffic/findStoreAge";
 import type { FleetView } from "@gypsumstage/steering/traffic/FleetView";
+import { listRejectedPolicies } from "@gypsumstage/steering/traffic/listRejectedPolicies";
 import type { PeerReport } from "@gypsumstage/steering/traffic/PeerReport";
 import type { PeerView } from "@gypsumstage/steering/traffic/PeerView";
 import { createInstanceMetrics } from "./createInstanceMetrics.js";
@@ -13,6 +14,9 @@
 import type { Instance } from "./Instance.js";
 import type { InstanceConfig } from "./InstanceConfig.js";
 import type { InstancePhase } from "./InstancePhase.js";
+import { readTime } from "./keys/readTime.js";
+import { registerPolicyRejectionLog } from "./keys/registerPolicyRejectionLog.js";
+import { startKeyConfirmation } from "./keys/startKeyConfirmation.js";
 import { listReplaced } from "./listReplaced.js";
 import { listRestarted } from "./listRestarted.js";
 import { startPeerExchange } from "./peers/startPeerExchange.js";
@@ -58,6 +62,7 @@
     });
     let storeAgeMs = (): number | undefined => undefined;
     let copyAgeMs = (): number | undefined => undefined;
+    let isUnconfirmed = (): boolean => false;
     let phase: InstancePhase = "serving";
     const onViewChange = (view: FleetView, before: FleetView): void => {
         const nowMs = monotonicNow();
@@ -100,6 +105,7 @@
         cutServices: reach.cutServices(),
         internalAddress: cfg.listen.internal,
         isReady: isReady(),
+        ...(isUnconfirmed() ? { isUnconfirmed: true } : {}),
         topics: fleet.topicVersions(),
         storeAgeMs: storeAgeMs(),
         inFlight: tracker.inFlight(),
@@ -114,13 +120,22 @@
         inFlight: servers.inFlight(),
         storeAgeMs: findStoreAge(storeAgeMs(), peers.live(), monotonicNow()),
         copyAgeMs: copyAgeMs(),
+        policyConfirmationAgeMs: keyConfirmation.ageMs(),
+        isPolicyRejected: listRejectedPolicies(fleet.topics.policy.get()).length > 0,
         retriesLeft: retryBudget.remaining(),
         cutServices: reach.cutServices().length,
         suspectRequests: coordination.suspects.size(),
     }));
     const peers = await startPeerExchange(cfg.seeds, createReport, rpc, metrics, log);
     const readyInstances = (): readonly PeerView[] => [
-        ...(isReady() ? [{ ...cfg, address: cfg.listen.requests, cutServices: reach.cutServices() }] : []),
+        ...(isReady()
+            ? [{
+                ...cfg,
+                address: cfg.listen.requests,
+                cutServices: reach.cutServices(),
+                isUnconfirmed: isUnconfirmed(),
+            }]
+            : []),
         ...peers.live().map(peer => peer.report).filter(report => report.isReady),
     ];
     const coordination = startCoordination(
@@ -132,12 +147,27 @@
         metrics,
         log,
     );
+    const store = countStoreCalls(platform.store, metrics.countStoreCall);
+    const keyConfirmation = startKeyConfirmation({
+        cfg: () => cfg,
+        copy: fleet,
+        store,
+        peers,
+        rpc,
+        isReader: () => storeAgeMs() !== undefined,
+        now: readTime,
+        metrics,
+        log,
+    });
+    isUnconfirmed = keyConfirmation.isUnconfirmed;
+    const stopRejectionLog = registerPolicyRejectionLog(fleet.topics.policy, fleet.view, log);
     const stopSchedule = createStopSchedule();
     const ctx = createRequestContext({
         cfg,
         view: fleet.view,
         upstreams,
         peers,
+        keys: keyConfirmation.trust,
         coordination,
         retryBudget,
         regionShiftLimiter,
@@ -155,6 +185,7 @@
         isReady,
         readyInstances,
         permitIssuer: coordination.permitIssuer,
+        confirmPolicy: keyConfirmation.answer,
         readNotices: coordination.readNotices,
         readMembers: peers.readMembers,
     });
@@ -172,7 +203,7 @@
         cfg,
         { incarnation, isReady, changeBoundMs: () => cfg.changeBoundMs },
         fleet,
-        countStoreCalls(platform.store, metrics.countStoreCall),
+        store,
         peers,
         rpc,
         metrics,
@@ -194,6 +225,8 @@
         log("info", "left", { requestsAnsweredEarly: answeredEarly, requestsCut: cut });
         stopHealthChecks();
         followedTopics.stop();
+        keyConfirmation.stop();
+        stopRejectionLog();
         peers.stop();
         fleet.stop();
         await Promise.all([
--- a/packages/gypsumstage-instance/src/startListeners.ts
+++ b/packages/gypsumstage-instance/src/startListeners.ts
@@ -6,6 +6,7 @@
 import { registerRpc } from "@gypsumstage/shared/registerRpc";
 import { chooseInstances } from "@gypsumstage/steering/traffic/chooseInstances";
 import { createTopicUpdate } from "@gypsumstage/steering/traffic/createTopicUpdate";
+import { listConfirmingInstances } from "@gypsumstage/steering/traffic/listConfirmingInstances";
 import { listHostServices } from "@gypsumstage/steering/traffic/listHostServices";
 import { listPermittedRegions } from "@gypsumstage/steering/traffic/listPermittedRegions";
 import { listReachingInstances } from "@gypsumstage/steering/traffic/listReachingInstances";
@@ -17,6 +18,8 @@
 import type { Registry } from "prom-client";
 import type { FleetState } from "./FleetState.js";
 import type { InstanceConfig } from "./InstanceConfig.js";
+import type { ConfirmQuery } from "./keys/ConfirmQuery.js";
+import type { KeyConfirmation } from "./keys/KeyConfirmation.js";
 import { registerLookupRoute } from "./lookup/registerLookupRoute.js";
 import { registerReadinessRoute } from "./lookup/registerReadinessRoute.js";
 import type { NoticeExchange } from "./notices/NoticeExchange.js";
@@ -37,6 +40,7 @@
     readonly isReady: () => boolean;
     readonly readyInstances: () => readonly PeerView[];
     readonly permitIssuer: PermitIssuer;
+    readonly confirmPolicy: KeyConfirmation["answer"];
     readonly readNotices: NoticeExchange["readAll"];
     readonly readMembers: PeerExchange["readMembers"];
 }
@@ -66,6 +70,7 @@
             const since = revision === undefined ? undefined : { era, revision };
             return createTopicUpdate(deps.fleet.topics[topic].get(), since, areNamesNeeded, monotonicNow());
         },
+        "policy.confirm": params => deps.confirmPolicy(params as ConfirmQuery),
         "notices.read": () => deps.readNotices(),
         "members.read": (params): readonly MemberRecord[] => deps.readMembers(params as MemberQuery),
         "permit.issue": (params): PermitDecision => deps.permitIssuer.issue(params as PermitQuery),
@@ -82,7 +87,10 @@
             const routes = deps.fleet.view().policy?.routes ?? [];
             return chooseInstances(
                 query,
-                listReachingInstances(deps.readyInstances(), listHostServices(routes, query.host)),
+                listReachingInstances(
+                    listConfirmingInstances(deps.readyInstances()),
+                    listHostServices(routes, query.host),
+                ),
                 listPermittedRegions(routes, query.host),
             );
         },
--- a/packages/gypsumstage-steering/src/traffic/PeerView.ts
+++ b/packages/gypsumstage-steering/src/traffic/PeerView.ts
@@ -7,4 +7,6 @@
     readonly address: string;
     /** Services to whose endpoints it can open no connections; absent when there are none. */
     readonly cutServices?: readonly string[];
+    /** True while it cannot confirm the keys of workspaces; absent otherwise. */
+    readonly isUnconfirmed?: boolean;
 }
