--- a/packages/gypsumstage-instance/src/keys/createConfirmationRecord.ts
+++ b/packages/gypsumstage-instance/src/keys/createConfirmationRecord.ts
@@ -21,6 +21,6 @@
             }
         },
         ageMs: at => latest === undefined ? undefined : getConfirmationAge(latest, at),
-        isConfirmedSince: atMs => latest !== undefined && latest.from.monotonicMs - latest.addedMs >= atMs,
+        isConfirmedSince: atMs => latest !== undefined && latest.from.monotonicMs - latest.addedMs > atMs,
     };
 };
--- a/packages/gypsumstage-instance/src/keys/createKeyTrust.ts
+++ b/packages/gypsumstage-instance/src/keys/createKeyTrust.ts
@@ -4,12 +4,12 @@
 import type { KeyTrustLimits } from "@gypsumstage/steering/traffic/KeyTrustLimits";
 import type { KeyVerdict } from "@gypsumstage/steering/traffic/KeyVerdict";
 import type { TimeReading } from "@gypsumstage/steering/traffic/TimeReading";
-import { setTimeout as sleep } from "node:timers/promises";
 import { findWorkspaces } from "../request/findWorkspaces.js";
 import type { ConfirmationRecord } from "./ConfirmationRecord.js";
 import type { KeyTrust } from "./KeyTrust.js";
 import type { PolicyCopy } from "./PolicyCopy.js";
 import { UNKNOWN_KEY_REPLY } from "./UNKNOWN_KEY_REPLY.js";
+import { waitMs } from "./waitMs.js";
 
 /** Longest time that a request waits for a confirmation. */
 const MAX_WAIT_MS = 300;
@@ -54,7 +54,7 @@
     };
     return {
         judge,
-        confirm: () => Promise.race([startRound(), sleep(MAX_WAIT_MS, undefined, { ref: false })]),
+        confirm: () => Promise.race([startRound(), waitMs(MAX_WAIT_MS)]),
         findRefusal: ({ keyDigest, workspace, arrivedAtMs }) => {
             if (workspace === undefined || getLimits() === undefined) {
                 return undefined;
--- a/packages/gypsumstage-instance/src/keys/createSharedRounds.ts
+++ b/packages/gypsumstage-instance/src/keys/createSharedRounds.ts
@@ -1,5 +1,5 @@
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
-import { setTimeout as sleep } from "node:timers/promises";
+import { waitMs } from "./waitMs.js";
 
 /**
  * Creates rounds of a task that all who wait share: one runs at a time, with a pause between their starts.
@@ -19,7 +19,7 @@
         await running;
         const pauseMs = nextStartMs - monotonicNow();
         if (pauseMs > 0) {
-            await sleep(pauseMs, undefined, { ref: false });
+            await waitMs(pauseMs);
         }
         next = undefined;
         const startedAtMs = monotonicNow();
--- a/packages/gypsumstage-instance/src/keys/startKeyConfirmation.ts
+++ b/packages/gypsumstage-instance/src/keys/startKeyConfirmation.ts
@@ -7,7 +7,6 @@
 import type { KeyTrustLimits } from "@gypsumstage/steering/traffic/KeyTrustLimits";
 import { listConfirmers } from "@gypsumstage/steering/traffic/listConfirmers";
 import type { TimeReading } from "@gypsumstage/steering/traffic/TimeReading";
-import { setTimeout as sleep } from "node:timers/promises";
 import type { InstanceConfig } from "../InstanceConfig.js";
 import type { InstanceMetrics } from "../InstanceMetrics.js";
 import type { PeerExchange } from "../peers/PeerExchange.js";
@@ -18,6 +17,7 @@
 import { createSharedRounds } from "./createSharedRounds.js";
 import type { KeyConfirmation } from "./KeyConfirmation.js";
 import type { PolicyCopy } from "./PolicyCopy.js";
+import { waitMs } from "./waitMs.js";
 
 /** Time between two rounds for keys that are not known; forged ones cause no more reads of the store than that. */
 const ROUND_INTERVAL_MS = 100;
@@ -28,6 +28,8 @@
 const READ_WANTED_WAIT_MS = 150;
 /** Shortest time between two reads of the store by an instance that follows a reader. */
 const OWN_READ_INTERVAL_MS = 1_000;
+/** Time for which an instance that gave no confirmation is left out while there are others. */
+const FAILED_PEER_PAUSE_MS = 2_000;
 /** Pause between two checks whether a confirmation is needed. */
 const CHECK_INTERVAL_MS = 50;
 /** Share of the longest age from which on look-ups name other instances. */
@@ -60,6 +62,9 @@
     const random = Math.random();
     const record = createConfirmationRecord(now);
     const source = createConfirmationSource(copy, record, store, rpc, now, metrics);
+    /** Until when instances that gave no confirmation are left out: for any, and for one by a read that had yet to begin. */
+    const failedAnswersUntilMs = new Map<string, number>();
+    const failedReadsUntilMs = new Map<string, number>();
     let nextOwnReadMs = 0;
     let nextConfirmMs = 0;
     let isExpiryLogged = false;
@@ -79,15 +84,25 @@
     };
     /** Waits for a confirmation as long as it may take; a later one still counts. */
     const waitShortly = (confirmed: Promise<boolean>): Promise<boolean | undefined> =>
-        Promise.race([confirmed, sleep(ASK_NEXT_AFTER_MS, undefined, { ref: false })]);
+        Promise.race([confirmed, waitMs(ASK_NEXT_AFTER_MS)]);
     const getAge = (): number => record.ageMs(now()) ?? Number.POSITIVE_INFINITY;
     /** Asks instances one after the other; the reply of one that is slow still counts. */
     const askOthers = async (isReadWanted: boolean, isDone: () => boolean): Promise<void> => {
-        for (const { report } of listConfirmers(cfg(), peers.live(), Math.random)) {
+        const failedUntilMs = isReadWanted ? failedReadsUntilMs : failedAnswersUntilMs;
+        const live = peers.live().filter(({ report }) => !isReadWanted || report.storeAgeMs !== undefined);
+        const sound = live.filter(({ report }) => (failedUntilMs.get(report.name) ?? 0) <= monotonicNow());
+        const candidates = sound.length > 0 ? sound : live;
+        for (const { report: { name, internalAddress } } of listConfirmers(cfg(), candidates, Math.random)) {
             if (isDone()) {
                 return;
             }
-            await waitShortly(source.ask(report.internalAddress, isReadWanted));
+            const isConfirmed = await waitShortly(source.ask(internalAddress, isReadWanted));
+            if (isConfirmed && (!isReadWanted || isDone())) {
+                failedUntilMs.delete(name);
+            }
+            else {
+                failedUntilMs.set(name, monotonicNow() + FAILED_PEER_PAUSE_MS);
+            }
         }
     };
     const runRound = async (): Promise<boolean> => {
@@ -148,7 +163,7 @@
             if (isReadWanted && isReader() && getLimits() !== undefined) {
                 await Promise.race([
                     startRound(),
-                    sleep(READ_WANTED_WAIT_MS, undefined, { ref: false }),
+                    waitMs(READ_WANTED_WAIT_MS),
                 ]);
             }
             return {
