--- a/packages/gypsumstage-instance/src/request/AttemptStart.ts
+++ b/packages/gypsumstage-instance/src/request/AttemptStart.ts
@@ -1,4 +1,5 @@
 import type { Placement } from "@gypsumstage/steering/traffic/Placement";
+import type { Reply } from "./Reply.js";
 
 /** What came of starting an attempt: the endpoint that it was sent to, or why it was not sent. */
 export type AttemptStart =
@@ -13,5 +14,7 @@
     | { readonly kind: "queue-late" | "queue-full"; readonly retryAfterMs: number; }
     /** The instance stopped while the request waited for its turn. */
     | { readonly kind: "leaving"; readonly retryAfterMs: number; }
+    /** The key of the request is not accepted any more. */
+    | { readonly kind: "key-refused"; readonly reply: Reply; }
     /** The caller left, or the request ended, before the attempt could be sent. */
     | { readonly kind: "abandoned"; };
--- a/packages/gypsumstage-instance/src/request/RequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/RequestContext.ts
@@ -3,6 +3,7 @@
 import type { Admission } from "../admission/Admission.js";
 import type { HeaderCodec } from "../HeaderCodec.js";
 import type { InstanceMetrics } from "../InstanceMetrics.js";
+import type { KeyTrust } from "../keys/KeyTrust.js";
 import type { PeerExchange } from "../peers/PeerExchange.js";
 import type { RequestPermits } from "../permits/RequestPermits.js";
 import type { ReachMonitor } from "../reach/ReachMonitor.js";
@@ -29,6 +30,7 @@
     readonly tracker: EndpointTracker;
     readonly pool: UpstreamPool;
     readonly peers: PeerExchange;
+    readonly keys: KeyTrust;
     readonly coldRateLimiter: ColdRateLimiter;
     readonly reach: ReachMonitor;
     readonly relays: Relays;
