--- a/packages/gypsumstage-instance/src/__tests__/unit/createAttemptSet.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createAttemptSet.test.ts
@@ -74,3 +74,21 @@
     await respond(200, {});
     assert.equal(ctx.rateLimits.ratePerSecond(FIRST), undefined);
 });
+
+test("a request whose key is revoked while it waits for the permit, or before a retry, hedge or relay, is not sent", async () => {
+    const reply = { kind: "refused", reason: "key-unconfirmed", retryAfterMs: 500 } as const;
+    let isRevoked = false;
+    const context = createTestContext(grantAfter(() => isRevoked = true));
+    Object.assign(context.ctx.keys, { findRefusal: () => isRevoked ? reply : undefined });
+    context.setEndpoints([FIRST, SECOND]);
+    const attempts = createSet(context);
+    assert.deepEqual(await attempts.startNext(), { kind: "key-refused", reply });
+    Object.assign(context.ctx.permits, { isNeeded: () => false });
+    attempts.startHedge();
+    Object.assign(context.ctx.reach, { isCut: () => true });
+    Object.assign(context.ctx.relays, { choose: () => ({ name: "n-1", address: "n-1:1" }) });
+    assert.deepEqual(await attempts.startNext(), { kind: "key-refused", reply });
+    attempts.startHedge();
+    assert.deepEqual(context.sentTo, []);
+    assert.equal(attempts.running().length, 0);
+});
--- a/packages/gypsumstage-instance/src/startListeners.ts
+++ b/packages/gypsumstage-instance/src/startListeners.ts
@@ -84,14 +84,14 @@
         lookup.app,
         deps.platform.lookup,
         query => {
-            const routes = deps.fleet.view().policy?.routes ?? [];
+            const { routes = [], workspaces } = deps.fleet.view().policy ?? {};
             return chooseInstances(
                 query,
                 listReachingInstances(
                     listConfirmingInstances(deps.readyInstances()),
                     listHostServices(routes, query.host),
                 ),
-                listPermittedRegions(routes, query.host),
+                listPermittedRegions(routes, query.host, workspaces),
             );
         },
         () => deps.cfg().lookupTtlMs,
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/peers.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/peers.test.ts
@@ -1,3 +1,4 @@
+import type { Workspace } from "@gypsumstage/domain/traffic/Workspace";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { chooseInstances } from "../../../traffic/chooseInstances.js";
@@ -5,6 +6,7 @@
 import { EMPTY_TOPIC } from "../../../traffic/EMPTY_TOPIC.js";
 import { findPeerWithNewerTopic } from "../../../traffic/findPeerWithNewerTopic.js";
 import { listColdOwners } from "../../../traffic/listColdOwners.js";
+import { listConfirmingInstances } from "../../../traffic/listConfirmingInstances.js";
 import { listLivePeers } from "../../../traffic/listLivePeers.js";
 import { listPermittedRegions } from "../../../traffic/listPermittedRegions.js";
 import type { PeerReport } from "../../../traffic/PeerReport.js";
@@ -124,3 +126,20 @@
     assert.deepEqual(listPermittedRegions(routes, "desk.example"), ["bharuch"]);
     assert.deepEqual(listPermittedRegions(routes, "unknown.example"), []);
 });
+
+test("look-ups name regions that the route and some workspace permit, and instances that can confirm keys if there are any", () => {
+    const routes = [
+        createRoute({ permittedRegions: ["kutch", "bharuch"] }),
+        createRoute({ host: "open.example", isPublic: true }),
+    ];
+    const [kutch, surat, all] = [["kutch"], ["surat"], []].map(permittedRegions =>
+        ({ permittedRegions }) as unknown as Workspace
+    );
+    assert.ok(kutch && surat && all);
+    assert.deepEqual(listPermittedRegions(routes, "desk.example", [kutch, surat]), ["kutch"]);
+    assert.deepEqual(listPermittedRegions(routes, "desk.example", [kutch, all]), ["kutch", "bharuch"]);
+    assert.deepEqual(listPermittedRegions(routes, "open.example", [kutch]), []);
+    const [sound, cut] = [report("n-1"), report("n-2", { isUnconfirmed: true })];
+    assert.deepEqual(listConfirmingInstances([sound, cut]), [sound]);
+    assert.deepEqual(listConfirmingInstances([cut]), [cut]);
+});
--- a/packages/gypsumstage-steering/src/traffic/applyWorkspace.ts
+++ b/packages/gypsumstage-steering/src/traffic/applyWorkspace.ts
@@ -1,12 +1,6 @@
 import type { Route } from "@gypsumstage/domain/traffic/Route";
 import type { Workspace } from "@gypsumstage/domain/traffic/Workspace";
-
-const intersectRegions = (left: readonly string[], right: readonly string[]): readonly string[] => {
-    if (left.length === 0 || right.length === 0) {
-        return left.length === 0 ? right : left;
-    }
-    return left.filter(region => right.includes(region));
-};
+import { intersectRegions } from "./intersectRegions.js";
 
 /**
  * Restricts a route to what a workspace allows: the regions of both bind, and the workspace's priority goes before the route's.
