Tell all instances which ones cannot confirm keys

Cause: look-ups and relays of other data centres did not see that an instance cannot confirm keys, as only its own contacts get its reports. Change: the member record has the optional field isUnconfirmed, and relays that can confirm are preferred. It spreads with the summaries. Ruled out: a notice at once, as all instances would send one at the same moment when the store is away.

--- a/packages/gypsumstage-instance/src/__tests__/unit/keyConfirmation.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/keyConfirmation.test.ts
@@ -142,3 +142,17 @@
         model.stop();
     }
 });
+
+test("while the reader of a region is frozen for 6 s, all others go on accepting keys", async () => {
+    const model = await createKeyModel(SIZE, REVOKE_MS, ["a"]);
+    const [frozen] = model.instances;
+    assert.ok(frozen);
+    Object.assign(frozen.faults, { store: true, peers: true, frozenMs: 6_000 });
+    assert.equal(frozen.keys.trust.findRefusal(REQUEST)?.reason, "key-unconfirmed");
+    const others = (await sendFor(model, 6_000)).slice(1);
+    assert.deepEqual(new Set(others.flatMap(last => Object.keys(last))), new Set(["workspace"]));
+    Object.assign(frozen.faults, { store: false, peers: false });
+    await model.runFor(1_000);
+    assert.equal(await frozen.admit("a"), "workspace");
+    model.stop();
+});
--- a/packages/gypsumstage-instance/src/peers/Membership.ts
+++ b/packages/gypsumstage-instance/src/peers/Membership.ts
@@ -9,7 +9,7 @@
     /** This instance's own record. */
     readonly own: () => MemberRecord;
     /** Takes over what changed in this instance since the last call. */
-    readonly updateOwn: (changes: Pick<MemberRecord, "isReady" | "cutServices">) => void;
+    readonly updateOwn: (changes: Pick<MemberRecord, "isReady" | "cutServices" | "isUnconfirmed">) => void;
     /** Records of all other instances, those that are gone included. */
     readonly records: () => readonly MemberRecord[];
     readonly find: (name: string) => MemberRecord | undefined;
--- a/packages/gypsumstage-instance/src/peers/createMembership.ts
+++ b/packages/gypsumstage-instance/src/peers/createMembership.ts
@@ -92,12 +92,19 @@
     };
     return {
         own: () => own,
-        updateOwn: ({ isReady, cutServices }) => {
-            if (isReady === own.isReady && haveSameServices(cutServices, own.cutServices)) {
+        updateOwn: ({ isReady, cutServices, isUnconfirmed }) => {
+            const isSame = isReady === own.isReady && isUnconfirmed === own.isUnconfirmed;
+            if (isSame && haveSameServices(cutServices, own.cutServices)) {
                 return;
             }
             const isWorse = (own.isReady && !isReady) || (cutServices?.length ?? 0) > 0;
-            own = { ...own, version: own.version + 1, isReady, cutServices: cutServices ?? [] };
+            own = {
+                ...own,
+                version: own.version + 1,
+                isReady,
+                cutServices: cutServices ?? [],
+                isUnconfirmed,
+            };
             if (isWorse) {
                 listeners.notify(own.name);
             }
--- a/packages/gypsumstage-instance/src/peers/startPeerExchange.ts
+++ b/packages/gypsumstage-instance/src/peers/startPeerExchange.ts
@@ -155,8 +155,8 @@
     const rotation = createReportRotation(BATCH_INTERVAL_MS, getRoundMs);
     const socket = await openPeerSocket(internalAddress, receive, metrics, log);
     const sendReports = (): void => {
-        const { isReady, cutServices, dataCentre, name, region } = createReport([]);
-        membership.updateOwn({ isReady, cutServices: cutServices ?? [] });
+        const { isReady, cutServices, isUnconfirmed, dataCentre, name, region } = createReport([]);
+        membership.updateOwn({ isReady, cutServices: cutServices ?? [], isUnconfirmed });
         contacts = chooseReportContacts(
             { dataCentre, name, region },
             membership.records().filter(record => !record.isGone),
--- a/packages/gypsumstage-instance/src/peers/toMemberRecord.ts
+++ b/packages/gypsumstage-instance/src/peers/toMemberRecord.ts
@@ -26,5 +26,6 @@
         isGone: false,
         isReady,
         cutServices: report.cutServices ?? [],
+        ...(report.isUnconfirmed === true ? { isUnconfirmed: true } : {}),
     };
 };
--- a/packages/gypsumstage-steering/src/traffic/MemberRecord.ts
+++ b/packages/gypsumstage-steering/src/traffic/MemberRecord.ts
@@ -20,4 +20,6 @@
     readonly isReady: boolean;
     /** Services to whose endpoints it can open no connections; absent when there are none. */
     readonly cutServices?: readonly string[];
+    /** True while it cannot confirm the keys of workspaces; absent otherwise. */
+    readonly isUnconfirmed?: boolean | undefined;
 }
--- a/packages/gypsumstage-steering/src/traffic/PeerView.ts
+++ b/packages/gypsumstage-steering/src/traffic/PeerView.ts
@@ -8,5 +8,5 @@
     /** Services to whose endpoints it can open no connections; absent when there are none. */
     readonly cutServices?: readonly string[];
     /** True while it cannot confirm the keys of workspaces; absent otherwise. */
-    readonly isUnconfirmed?: boolean;
+    readonly isUnconfirmed?: boolean | undefined;
 }
--- a/packages/gypsumstage-steering/src/traffic/chooseRelay.ts
+++ b/packages/gypsumstage-steering/src/traffic/chooseRelay.ts
@@ -2,7 +2,7 @@
 
 type RelayCandidate = Pick<
     PeerReport,
-    "name" | "region" | "isReady" | "cutServices"
+    "name" | "region" | "isReady" | "cutServices" | "isUnconfirmed"
 >;
 
 /** What a relay must reach and where it may be. */
@@ -37,7 +37,9 @@
         && !excludedNames.has(candidate.name)
         && (permittedRegions.length === 0 || permittedRegions.includes(candidate.region))
     );
-    const near = reaching.filter(candidate => candidate.region === ownRegion);
-    const nearest = near.length > 0 ? near : reaching;
+    const confirming = reaching.filter(candidate => candidate.isUnconfirmed !== true);
+    const usable = confirming.length > 0 ? confirming : reaching;
+    const near = usable.filter(candidate => candidate.region === ownRegion);
+    const nearest = near.length > 0 ? near : usable;
     return nearest[Math.floor(random() * nearest.length)];
 };
--- a/packages/gypsumstage-steering/src/traffic/recordMember.ts
+++ b/packages/gypsumstage-steering/src/traffic/recordMember.ts
@@ -20,6 +20,7 @@
         version,
         isReady,
         cutServices: record.cutServices ?? [],
+        isUnconfirmed: record.isUnconfirmed ?? false,
     };
 };
 
