Spread the return of requests that the endpoints of a service with admission refuse

While a service sheds everything, each refused caller was told to come back after 200 ms, and its one return met the same refusal.

Ruled out: letting refused requests wait in the instance, as their second attempts would take the retry budget of the service.

--- a/packages/gypsumstage-instance/src/__tests__/unit/admittedRequests.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/admittedRequests.test.ts
@@ -25,7 +25,7 @@
 interface TestService {
     readonly ctx: RequestContext;
     /** Answers the oldest request that an endpoint has. */
-    readonly answerNext: () => void;
+    readonly answerNext: (status?: number) => void;
     readonly sentCount: () => number;
     readonly serve: (priority: number, callerDisconnect?: Promise<void>) => Promise<LabelledReply>;
 }
@@ -66,7 +66,7 @@
     } as unknown as RequestContext;
     return {
         ctx,
-        answerNext: () => answers.shift()?.(ANSWER),
+        answerNext: (status = 200) => answers.shift()?.({ ...ANSWER, status } as AttemptOutcome),
         sentCount: () => sent,
         serve: (priority, callerDisconnect = NEVER) =>
             serveRequest(
@@ -126,6 +126,15 @@
     assert.deepEqual(ctx.admission.lengths(), { desk: 0 });
 });
 
+test("callers whose requests the endpoints refuse return spread over a third of their time", async () => {
+    const { answerNext, serve } = createTestService([0, 1]);
+    const refused = serve(0);
+    await setTimeout(5);
+    answerNext(503);
+    const { reply } = await refused;
+    assert.ok(reply.kind === "refused" && reply.retryAfterMs > 300 && reply.retryAfterMs < 667);
+});
+
 test("requests of a service whose routes are equally urgent are refused at once, as without admission", async () => {
     const { sentCount, serve } = createTestService([1, 1]);
     [1, 2, 3].forEach(() => void serve(1));
--- a/packages/gypsumstage-instance/src/request/serveRequest.ts
+++ b/packages/gypsumstage-instance/src/request/serveRequest.ts
@@ -1,27 +1,18 @@
 import type { Route } from "@gypsumstage/domain/traffic/Route";
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import { endsBefore } from "@gypsumstage/steering/traffic/endsBefore";
-import { isSafeKind } from "@gypsumstage/steering/traffic/isSafeKind";
+import { awaitReply } from "./awaitReply.js";
 import type { CallerRequest } from "./CallerRequest.js";
 import { createAttemptSet } from "./createAttemptSet.js";
-import { createServeEventHandler } from "./createServeEventHandler.js";
-import { createTimer } from "./createTimer.js";
 import { isStarted } from "./isStarted.js";
 import type { LabelledReply } from "./LabelledReply.js";
+import { LATE_RESPONSE_GRACE_MS } from "./LATE_RESPONSE_GRACE_MS.js";
 import { logSlowOrFailedRequest } from "./logSlowOrFailedRequest.js";
 import type { Reply } from "./Reply.js";
 import type { RequestContext } from "./RequestContext.js";
-import type { ServeEvent } from "./ServeEvent.js";
+import { spreadRefusal } from "./spreadRefusal.js";
 import { startFirstAttempt } from "./startFirstAttempt.js";
 
-/** Time after the deadline during which an endpoint's response is still accepted. */
-const LATE_RESPONSE_GRACE_MS = 120;
-/**
- * A safe request without a response is hedged after HEDGE_TARGET_SHARE of the target latency of the route, or
- * after HEDGE_TYPICAL_FACTOR times the typical latency of the service, whichever is later.
- */
-const HEDGE_TARGET_SHARE = 0.8;
-const HEDGE_TYPICAL_FACTOR = 3;
 const NO_ENDPOINT_RETRY_AFTER_MS = 500;
 /** Other instances serve at once. */
 const LEAVING_RETRY_AFTER_MS = 50;
@@ -84,47 +75,10 @@
     }
     if (!isStarted(first)) {
         const retryAfterMs = first.kind === "no-endpoint" ? NO_ENDPOINT_RETRY_AFTER_MS : first.retryAfterMs;
-        return { reply: { kind: "refused", reason: first.kind, retryAfterMs }, labels };
-    }
-    const typicalMs = ctx.tracker.typicalMs(service, route.targetLatencyMs);
-    const hedgeAfterMs = Math.max(
-        HEDGE_TARGET_SHARE * route.targetLatencyMs,
-        HEDGE_TYPICAL_FACTOR * typicalMs,
-    );
-    const hedgeTimer = createTimer<ServeEvent>(hedgeAfterMs, { kind: "hedge-due" });
-    const deadlineTimer = createTimer<ServeEvent>(latestAnswerAtMs - monotonicNow(), {
-        kind: "deadline",
-    });
-    const disconnect = callerDisconnect.then((): ServeEvent => ({ kind: "caller-gone" }));
-    let unregisterStop = (): void => undefined;
-    const stopping = new Promise<ServeEvent>(resolve => {
-        unregisterStop = ctx.stopSchedule.registerEndListener(() => resolve({ kind: "stopping" }));
-    });
-    const handleEvent = createServeEventHandler(attempts, route, service, deadlineAtMs, ctx.retryBudget);
-    let isHedgePending = isSafeKind(route.kind);
-    const nextEvent = (): Promise<ServeEvent> =>
-        Promise.race([
-            ...attempts.running().map(each =>
-                each.then((attempt): ServeEvent => ({ kind: "finished", attempt }))
-            ),
-            ...(isHedgePending ? [hedgeTimer.fired] : []),
-            deadlineTimer.fired,
-            stopping,
-            disconnect,
-        ]);
-    try {
-        let reply: Reply | undefined;
-        while (reply === undefined) {
-            const event = await nextEvent();
-            isHedgePending &&= event.kind !== "hedge-due";
-            reply = await handleEvent(event);
-        }
-        logSlowOrFailedRequest(ctx, req, route, service, attempts, reply);
-        return { reply, labels };
-    }
-    finally {
-        unregisterStop();
-        hedgeTimer.cancel();
-        deadlineTimer.cancel();
+        const refusal: Reply = { kind: "refused", reason: first.kind, retryAfterMs };
+        return { reply: spreadRefusal(ctx, service, refusal, deadlineAtMs), labels };
     }
+    const reply = await awaitReply(ctx, route, service, attempts, deadlineAtMs, callerDisconnect);
+    logSlowOrFailedRequest(ctx, req, route, service, attempts, reply);
+    return { reply: spreadRefusal(ctx, service, reply, deadlineAtMs), labels };
 };
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/overloadCases.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/overloadCases.test.ts
@@ -29,6 +29,8 @@
 interface NamedLoad {
     readonly load: OverloadCase;
     readonly minGain: number;
+    /** The same for the share that is served at all. */
+    readonly minServedGain?: number;
 }
 
 /** Loads that admission neither helps nor may harm: one run differs from another by up to this. */
@@ -48,6 +50,7 @@
     "a service that sheds all": {
         load: { ...BASE, shedsAt: nowMs => nowMs > 10_000 && nowMs < 18_500 },
         minGain: NO_GAIN,
+        minServedGain: 0.015,
     },
     "a restart of all": { load: { ...BASE, restartAtMs: 15_000 }, minGain: NO_GAIN },
     "a noisy workspace": {
@@ -72,7 +75,7 @@
     ].join(", ");
 };
 
-for (const [name, { load, minGain }] of Object.entries(LOADS)) {
+for (const [name, { load, minGain, minServedGain = -0.01 }] of Object.entries(LOADS)) {
     test(`${name}: served on time as before or more, the urgent kind first, no workspace starved`, t => {
         const run = (policy: OverloadPolicy): OverloadResult => {
             const result = simulateOverload(load, policy, ENDPOINTS);
@@ -85,7 +88,7 @@
         const { safe = 0, unsafe = 0 } = admission.servedByKind;
         assert.ok(admission.onTime >= present.onTime + minGain);
         assert.ok(admission.onTime >= firstCome.onTime);
-        assert.ok(admission.served >= present.served - 0.01);
+        assert.ok(admission.served >= present.served + minServedGain);
         assert.ok(safe >= unsafe * 0.95);
         assert.ok(unsafe >= 0.3);
         assert.ok(admission.worstWorkspaces >= 0.7);
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/simulateOverload.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/simulateOverload.ts
@@ -1,4 +1,5 @@
 import type { AdmissionRequest } from "../../../traffic/AdmissionRequest.js";
+import { computeAdmissionRetryAfter } from "../../../traffic/computeAdmissionRetryAfter.js";
 import type { DecayingCount } from "../../../traffic/DecayingCount.js";
 import { decideAdmission } from "../../../traffic/decideAdmission.js";
 import { holdBackPlacement } from "../../../traffic/holdBackPlacement.js";
@@ -163,7 +164,9 @@
     const send = (request: Request, id: string): void => {
         const endpoint = endpoints.get(id);
         if (endpoint === undefined || endpoint.waiting.length >= MAX_QUEUE || load.shedsAt?.(nowMs)) {
-            refuse(request, REJECTED_RETRY_AFTER_MS);
+            const remainingMs = request.deadlineAtMs - nowMs;
+            const spreadMs = computeAdmissionRetryAfter(remainingMs, remainingMs, random());
+            refuse(request, policy === "admission" ? spreadMs : REJECTED_RETRY_AFTER_MS);
             return;
         }
         const { home } = request;
