Check for room only when a load has fallen, and replay a loss of reports

Late work gives way at the endpoints only where new requests can be on time: on a service so slow that none can, all requests would otherwise have been kept to free slots.

Ruled out: waking only the requests that have the freed endpoint as a candidate, as slots that other instances free come in reports.

--- a/packages/gypsumstage-instance/src/request/createRoomCheck.ts
+++ b/packages/gypsumstage-instance/src/request/createRoomCheck.ts
@@ -14,7 +14,7 @@
 
 /**
  * Creates the check whether a waiting request may find room. It goes by the candidates of the last try and their load now,
- * which spares ranking all endpoints of the service at each wake-up.
+ * which spares ranking all endpoints of the service at each wake-up; and repeats the choice only when a load has fallen.
  *
  * @param ctx - provides the load of endpoints
  * @param place - chooses among candidates
@@ -32,8 +32,16 @@
             full = candidates;
             recordedAtMs = monotonicNow();
         },
-        mayHaveRoom: () =>
-            monotonicNow() - recordedAtMs > MAX_CHECK_AGE_MS
-            || place(full.map(each => ({ ...each, inFlight: inFlight(each.id) }))).kind === "placed",
+        mayHaveRoom: () => {
+            if (monotonicNow() - recordedAtMs > MAX_CHECK_AGE_MS) {
+                return true;
+            }
+            const before = full;
+            full = before.map(each => ({ ...each, inFlight: inFlight(each.id) }));
+            const hasFallen = full.some((each, index) =>
+                each.inFlight < (before[index]?.inFlight ?? Infinity)
+            );
+            return hasFallen && place(full).kind === "placed";
+        },
     };
 };
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/OverloadCase.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/OverloadCase.ts
@@ -10,6 +10,8 @@
     /** Time after which a caller leaves; by default at the deadline. */
     readonly patienceMs?: number;
     readonly shedsAt?: (nowMs: number) => boolean;
+    /** Whether instances get each other's reports; without them they see their own load only. */
+    readonly hasReports?: (nowMs: number) => boolean;
     readonly restartAtMs?: number;
     readonly durationMs: number;
 }
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/admission.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/admission.test.ts
@@ -81,6 +81,14 @@
     assert.equal(place("e2", 0), "placed");
 });
 
+test("late work gives way at the endpoints only where new requests can be on time", () => {
+    const request = createRequest({ priority: 0 });
+    const limitAt = (workMs: number, nowMs: number): number =>
+        limitEndpointQueue(RULE, request, workMs, nowMs);
+    assert.ok(limitAt(300, 700) < limitAt(300, 100));
+    assert.equal(limitAt(900, 700), limitAt(900, 0));
+});
+
 test("a request that can only be late may take a slot, and is refused once it cannot meet its deadline", () => {
     const request = createRequest({ targetAtMs: 100 });
     assert.equal(decideAdmission(request, STATE).kind, "place");
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/overloadCases.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/overloadCases.test.ts
@@ -53,6 +53,14 @@
         minServedGain: 0.015,
     },
     "a restart of all": { load: { ...BASE, restartAtMs: 15_000 }, minGain: NO_GAIN },
+    "a burst while no instance gets the others' reports": {
+        load: {
+            ...BASE,
+            demandFactor: duringMiddle(2.5),
+            hasReports: nowMs => nowMs < 10_000 || nowMs > 19_000,
+        },
+        minGain: NO_GAIN,
+    },
     "a noisy workspace": {
         load: {
             ...BASE,
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/simulateOverload.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/simulateOverload.ts
@@ -303,7 +303,8 @@
         }
         endpoints.forEach(work);
         if (nowMs % REPORT_INTERVAL_MS === 0) {
-            reports = instances.map(instance => new Map(instance.inFlight));
+            const hasReports = load.hasReports?.(nowMs) ?? true;
+            reports = instances.map(instance => hasReports ? new Map(instance.inFlight) : new Map());
         }
     }
     return summarize(load, requests);
--- a/packages/gypsumstage-steering/src/traffic/limitEndpointQueue.ts
+++ b/packages/gypsumstage-steering/src/traffic/limitEndpointQueue.ts
@@ -8,7 +8,10 @@
  */
 const URGENT_QUEUE_FACTOR = 2;
 const LESS_URGENT_QUEUE_FACTOR = 1.5;
-/** Late work takes free slots only, so that work that can still be on time does not queue behind it. */
+/**
+ * Late work takes free slots only, so that work that can still be on time does not queue behind it. Where the service is so slow
+ * that new requests cannot be on time either, there is none to give way to.
+ */
 const LATE_QUEUE_FACTOR = 1;
 
 /**
@@ -27,7 +30,8 @@
     workMs: number,
     nowMs: number,
 ): number => {
-    if (nowMs + workMs > request.targetAtMs) {
+    const couldBeOnTime = request.arrivedAtMs + workMs <= request.targetAtMs;
+    if (couldBeOnTime && nowMs + workMs > request.targetAtMs) {
         return LATE_QUEUE_FACTOR;
     }
     return computeAgedPriority(request, rule, nowMs) <= rule.mostUrgent
