--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/simulateOverload.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/simulateOverload.ts
@@ -1,4 +1,5 @@
 import type { AdmissionRequest } from "../../../traffic/AdmissionRequest.js";
+import { computeAdmissionRetryAfter } from "../../../traffic/computeAdmissionRetryAfter.js";
 import type { DecayingCount } from "../../../traffic/DecayingCount.js";
 import { decideAdmission } from "../../../traffic/decideAdmission.js";
 import { holdBackPlacement } from "../../../traffic/holdBackPlacement.js";
@@ -163,7 +164,9 @@
     const send = (request: Request, id: string): void => {
         const endpoint = endpoints.get(id);
         if (endpoint === undefined || endpoint.waiting.length >= MAX_QUEUE || load.shedsAt?.(nowMs)) {
-            refuse(request, REJECTED_RETRY_AFTER_MS);
+            const remainingMs = request.deadlineAtMs - nowMs;
+            const spreadMs = computeAdmissionRetryAfter(remainingMs, remainingMs, random());
+            refuse(request, policy === "admission" ? spreadMs : REJECTED_RETRY_AFTER_MS);
             return;
         }
         const { home } = request;
@@ -300,7 +303,8 @@
         }
         endpoints.forEach(work);
         if (nowMs % REPORT_INTERVAL_MS === 0) {
-            reports = instances.map(instance => new Map(instance.inFlight));
+            const hasReports = load.hasReports?.(nowMs) ?? true;
+            reports = instances.map(instance => hasReports ? new Map(instance.inFlight) : new Map());
         }
     }
     return summarize(load, requests);
