Fail responses that are cut off during an upload or have no HTTP status

Cause: the client library ends a response without a length when the connection is reset. The instance's check missed an end while bytes wait to be written; the connections of the own roles had none. The parser accepts any status of three digits.

--- a/packages/gypsumstage-instance/src/request/writeReply.ts
+++ b/packages/gypsumstage-instance/src/request/writeReply.ts
@@ -1,6 +1,6 @@
 import { dropHopByHopHeaders } from "@gypsumstage/shared/dropHopByHopHeaders";
+import { hasNoBody } from "@gypsumstage/shared/hasNoBody";
 import type { OutgoingHttpHeaders, ServerResponse } from "node:http";
-import { hasNoBody } from "../hasNoBody.js";
 import type { Reply } from "./Reply.js";
 
 const STATUS_REFUSED = 503;
--- a/packages/gypsumstage-instance/src/upstream/createResponseCollector.ts
+++ b/packages/gypsumstage-instance/src/upstream/createResponseCollector.ts
@@ -1,5 +1,5 @@
+import { hasNoBody } from "@gypsumstage/shared/hasNoBody";
 import type { IncomingHttpHeaders } from "node:http";
-import { hasNoBody } from "../hasNoBody.js";
 import type { ResponseCollector } from "./ResponseCollector.js";
 import type { ResponseMemory } from "./ResponseMemory.js";
 import type { UpstreamConnection } from "./UpstreamConnection.js";
--- a/packages/gypsumstage-instance/src/upstream/openConnection.ts
+++ b/packages/gypsumstage-instance/src/upstream/openConnection.ts
@@ -1,7 +1,7 @@
 import type { Address } from "@gypsumstage/shared/Address";
+import { registerAbnormalCloseListener } from "@gypsumstage/shared/registerAbnormalCloseListener";
 import { isIPv6, type Socket } from "node:net";
 import { Client } from "undici";
-import { registerAbnormalCloseListener } from "./registerAbnormalCloseListener.js";
 import type { UpstreamConnection } from "./UpstreamConnection.js";
 import type { UpstreamConnector } from "./UpstreamConnector.js";
 
--- a/packages/gypsumstage-instance/src/upstream/sendRequest.ts
+++ b/packages/gypsumstage-instance/src/upstream/sendRequest.ts
@@ -1,4 +1,5 @@
 import { describeError } from "@gypsumstage/shared/describeError";
+import { isHttpStatus } from "@gypsumstage/shared/isHttpStatus";
 import type { Dispatcher } from "undici";
 import type { AttemptOutcome } from "./AttemptOutcome.js";
 import { createResponseCollector } from "./createResponseCollector.js";
@@ -9,7 +10,7 @@
 
 /**
  * Sends a request on a connection and buffers the complete response, so that a truncated response is never relayed as
- * if it were complete. A response that exceeds a limit breaks the attempt at once.
+ * if it were complete. A response that exceeds a limit, or whose status is none of HTTP, breaks the attempt at once.
  *
  * @param connection - an idle connection
  * @param req - the request
@@ -27,10 +28,11 @@
     const outcome = new Promise<AttemptOutcome>(resolve => {
         settle = resolve;
     });
-    const collector = createResponseCollector(connection, memory, reason => {
+    const breakOff = (reason: string): void => {
         settle({ kind: "broken", reason });
         controller?.abort(new Error(reason));
-    });
+    };
+    const collector = createResponseCollector(connection, memory, breakOff);
     void outcome.then(collector.close);
     const abort = (): void => {
         isAborted = true;
@@ -46,7 +48,14 @@
             }
             controller = started;
         },
-        onResponseStart: (_controller, statusCode, fields) => collector.addHead(statusCode, fields),
+        onResponseStart: (_controller, statusCode, fields) => {
+            if (isHttpStatus(statusCode)) {
+                collector.addHead(statusCode, fields);
+            }
+            else {
+                breakOff("status-invalid");
+            }
+        },
         onResponseData: (_controller, piece) => collector.addPiece(piece),
         onResponseEnd: () =>
             settle(
--- a/packages/gypsumstage-instance/src/__tests__/unit/registerAbnormalCloseListener.test.ts
+++ b/packages/gypsumstage-shared/src/__tests__/unit/registerAbnormalCloseListener.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { EventEmitter } from "node:events";
 import { test } from "node:test";
-import { registerAbnormalCloseListener } from "../../upstream/registerAbnormalCloseListener.js";
+import { registerAbnormalCloseListener } from "../../registerAbnormalCloseListener.js";
 
 const createSocket = (
     remoteAddress: string | undefined,
@@ -31,3 +31,8 @@
 test("a socket error counts as an abnormal close", () => {
     assert.equal(countAbnormalCloses(createSocket("10.0.0.1"), "error"), 1);
 });
+
+test("a connection that ends while bytes wait to be written does not count as closed properly", () => {
+    const socket = Object.assign(createSocket("10.0.0.1"), { writableLength: 1 });
+    assert.equal(countAbnormalCloses(socket, "end"), 1);
+});
