Read and share the load that endpoints state

In fleets where an instance hears the reports of its own data centre only, it knows a sixth of the requests in flight. Endpoints state their load in each response, which was not read.

The header is read in platform's codec. Each instance keeps the newest figure of each endpoint with its time, the requests of others in it and their moving average, and drops it with the endpoint. One instance gets few responses of each endpoint, so it adds what it observed in the last 600 ms to its reports, at most 16 figures of about 35 bytes. Both only where the reports cover less than half of the live instances, so nothing changes where all report to all.

Not used for any decision yet. Ruled out: more queries or messages, and passing on figures of others (they would grow with the fleet). Unit tests of the decisions, the codec, the memory and the reports pass, and endpointRateLimit and peerExchange.

--- a/packages/gypsumstage-instance/src/HeaderCodec.ts
+++ b/packages/gypsumstage-instance/src/HeaderCodec.ts
@@ -1,3 +1,4 @@
+import type { EndpointLoad } from "@gypsumstage/steering/traffic/EndpointLoad";
 import type { ResponseFacts } from "@gypsumstage/steering/traffic/ResponseFacts";
 import type { IncomingHttpHeaders } from "node:http";
 import type { UpstreamRequest } from "./upstream/UpstreamRequest.js";
@@ -38,6 +39,8 @@
      * undefined when the header is absent or malformed.
      */
     readonly readRateLimit: (headers: IncomingHttpHeaders) => number | undefined;
+    /** Reads the load that an endpoint states in a response; undefined when the header is absent or malformed. */
+    readonly readLoad: (headers: IncomingHttpHeaders) => EndpointLoad | undefined;
     /** Returns whether an endpoint says in a response that it is leaving. */
     readonly readLeaving: (headers: IncomingHttpHeaders) => boolean;
     /**
--- a/packages/gypsumstage-instance/src/__tests__/unit/createTestContext.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createTestContext.ts
@@ -55,6 +55,7 @@
                 isAddressReassigned: false,
                 isEncoded: false,
             }),
+            readLoad: () => undefined,
             readLeaving: (headers: Readonly<Record<string, string>>) => headers["leaving"] !== undefined,
             readPauseMs: (...[, headers]: readonly [number, Readonly<Record<string, string>>]) =>
                 headers["pause"] === undefined ? undefined : Number(headers["pause"]),
@@ -84,6 +85,7 @@
         permits,
         suspects: createSuspectRequests(() => false, log),
         retryBudget: { tryTake: () => true },
+        choosesByStatedLoad: () => false,
         localPrimaryShare: () => 1,
         regionShiftLimiter: { allows: () => true, recordPlacement: () => undefined },
         stopSchedule: createStopSchedule(),
--- a/packages/gypsumstage-instance/src/request/RequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/RequestContext.ts
@@ -14,6 +14,7 @@
 import type { LeavingEndpoints } from "../upstream/LeavingEndpoints.js";
 import type { UpstreamPool } from "../upstream/UpstreamPool.js";
 import type { BodyMemory } from "./BodyMemory.js";
+import type { LoadSourceChoice } from "./LoadSourceChoice.js";
 import type { LocalPrimaryShares } from "./LocalPrimaryShares.js";
 import type { RegionShiftLimiter } from "./RegionShiftLimiter.js";
 import type { RetryBudget } from "./RetryBudget.js";
@@ -38,6 +39,7 @@
     readonly retryBudget: RetryBudget;
     readonly bodyMemory: BodyMemory;
     readonly chooseService: ServiceChooser;
+    readonly choosesByStatedLoad: LoadSourceChoice;
     readonly localPrimaryShare: LocalPrimaryShares;
     readonly regionShiftLimiter: RegionShiftLimiter;
     /** When the requests have to end, once the instance stops. */
--- a/packages/gypsumstage-instance/src/request/createRequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestContext.ts
@@ -11,6 +11,7 @@
 import { createColdRateLimiter } from "../upstream/createColdRateLimiter.js";
 import type { Upstreams } from "../upstream/Upstreams.js";
 import { createBodyMemory } from "./createBodyMemory.js";
+import { createLoadSourceChoice } from "./createLoadSourceChoice.js";
 import { createLocalPrimaryShares } from "./createLocalPrimaryShares.js";
 import { createServiceChooser } from "./createServiceChooser.js";
 import type { RegionShiftLimiter } from "./RegionShiftLimiter.js";
@@ -72,6 +73,7 @@
         permits: coordination.permits,
         suspects: coordination.suspects,
         retryBudget,
+        choosesByStatedLoad: createLoadSourceChoice(peers, upstreams.tracker.loads),
         localPrimaryShare: createLocalPrimaryShares(cfg.region, view, () => [
             { region: cfg.region, demand: retryBudget.demand() },
             ...listLocalReports(),
--- a/packages/gypsumstage-instance/src/request/startAttempt.ts
+++ b/packages/gypsumstage-instance/src/request/startAttempt.ts
@@ -96,12 +96,16 @@
             }
         }
     };
-    /** Records whether the endpoint says that it is leaving, or that it wants no requests for some time. */
+    /** Records the load that the endpoint states, whether it says that it is leaving, and whether it wants no requests for some time. */
     const recordAnnouncements = (outcome: AttemptOutcome, classification: AttemptClassification): void => {
         const isReassigned = classification.kind === "not-run" && classification.reason === "other-endpoint";
         if (outcome.kind !== "answered" || isReassigned) {
             return;
         }
+        const load = ctx.headerCodec.readLoad(outcome.headers);
+        if (load !== undefined) {
+            tracker.loads.observe(endpoint.id, load);
+        }
         if (ctx.headerCodec.readLeaving(outcome.headers)) {
             ctx.departures.observe(endpoint);
         }
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -90,6 +90,10 @@
         () => cfg.maxRegionShift,
         () => peers.reporting().map(peer => peer.report).filter(report => report.region === cfg.region),
     );
+    const listLoads = (): Pick<PeerReport, "loads"> => {
+        const loads = tracker.loads.listRecent();
+        return loads === undefined ? {} : { loads };
+    };
     const createReport = (peerAddresses: readonly string[]): PeerReport => ({
         name: cfg.name,
         dataCentre: cfg.dataCentre,
@@ -103,6 +107,7 @@
         topics: fleet.topicVersions(),
         storeAgeMs: storeAgeMs(),
         inFlight: tracker.inFlight(),
+        ...listLoads(),
         demand: retryBudget.demand(),
         placed: regionShiftLimiter.placed(),
         peers: peerAddresses,
--- a/packages/gypsumstage-instance/src/upstream/EndpointTracker.ts
+++ b/packages/gypsumstage-instance/src/upstream/EndpointTracker.ts
@@ -1,6 +1,7 @@
 import type { UpstreamEndpoint } from "@gypsumstage/domain/traffic/UpstreamEndpoint";
 import type { EndpointHealth } from "@gypsumstage/steering/traffic/EndpointHealth";
 import type { HealthEvent } from "@gypsumstage/steering/traffic/HealthEvent";
+import type { EndpointLoads } from "./EndpointLoads.js";
 
 /** Health, requests in flight and warm objects of each endpoint, as observed by this instance. */
 export interface EndpointTracker {
@@ -12,6 +13,8 @@
     /** Requests of this instance in flight, by endpoint. */
     readonly inFlight: () => Readonly<Record<string, number>>;
     readonly inFlightAt: (id: string) => number;
+    /** Loads that the endpoints stated. */
+    readonly loads: EndpointLoads;
     /** Returns whether this instance recently sent the endpoint a request for the object. */
     readonly isWarm: (id: string, objectKey: string) => boolean;
     /**
--- a/packages/gypsumstage-instance/src/upstream/createEndpointTracker.ts
+++ b/packages/gypsumstage-instance/src/upstream/createEndpointTracker.ts
@@ -5,6 +5,7 @@
 import { updateHealth } from "@gypsumstage/steering/traffic/updateHealth";
 import { updateLatencyPeaks } from "@gypsumstage/steering/traffic/updateLatencyPeaks";
 import { updateTypicalLatency } from "@gypsumstage/steering/traffic/updateTypicalLatency";
+import { createEndpointLoads } from "./createEndpointLoads.js";
 import { createWarmObjects } from "./createWarmObjects.js";
 import type { EndpointTracker } from "./EndpointTracker.js";
 
@@ -19,7 +20,9 @@
 export const createEndpointTracker = (): EndpointTracker => {
     const health = new Map<string, EndpointHealth>();
     const inFlight = new Map<string, number>();
+    const inFlightAt = (id: string): number => inFlight.get(id) ?? 0;
     const warmObjects = createWarmObjects();
+    const loads = createEndpointLoads(inFlightAt);
     const typicalByService = new Map<string, number>();
     const peaksByService = new Map<string, LatencyPeaks>();
     const addInFlight = (id: string, change: number): void => {
@@ -34,6 +37,7 @@
     const forget = (id: string): void => {
         health.delete(id);
         warmObjects.clear(id);
+        loads.forget(id);
     };
     return {
         health: id => health.get(id) ?? INITIAL_HEALTH,
@@ -49,7 +53,8 @@
             return () => addInFlight(id, -1);
         },
         inFlight: () => Object.fromEntries(inFlight),
-        inFlightAt: id => inFlight.get(id) ?? 0,
+        inFlightAt,
+        loads,
         isWarm: warmObjects.has,
         typicalMs: (service, targetLatencyMs) => {
             const currentMs = typicalByService.get(service) ?? targetLatencyMs * INITIAL_TYPICAL_FRACTION;
@@ -71,6 +76,9 @@
             }
         },
         forget,
-        keepOnly: endpoints => [...health.keys()].filter(id => !endpoints.has(id)).forEach(forget),
+        keepOnly: endpoints => {
+            [...health.keys()].filter(id => !endpoints.has(id)).forEach(forget);
+            loads.keepOnly(endpoints);
+        },
     };
 };
--- a/packages/gypsumstage-steering/src/traffic/PeerReport.ts
+++ b/packages/gypsumstage-steering/src/traffic/PeerReport.ts
@@ -1,5 +1,6 @@
 import type { Topic } from "@gypsumstage/domain/traffic/Topic";
 import type { PeerView } from "./PeerView.js";
+import type { ReportedLoad } from "./ReportedLoad.js";
 import type { TopicVersion } from "./TopicVersion.js";
 
 /** Status report that an instance sends to the other instances, up to several times a second. */
@@ -24,6 +25,8 @@
     readonly storeAgeMs: number | undefined;
     /** Requests that it has in flight, by endpoint id. */
     readonly inFlight: Readonly<Record<string, number>>;
+    /** Loads that endpoints stated to it since a few reports ago, by endpoint id; absent in reports of builds that read none. */
+    readonly loads?: Readonly<Record<string, ReportedLoad>>;
     /** Requests that it received within the window of its retry budget, by service. */
     readonly demand: Readonly<Record<string, number>>;
     /** Requests that it has placed since its start, by region. */
