Place requests by the load that endpoints state in large fleets

In fleets of 90 and 118 instances an instance knew a sixth of the requests in flight, and all chose by the same old figures: endpoints were overloaded in turn while others idled.

Where reports cover less than half of the live instances and endpoints state their load, the present load is estimated from the newest figure (own requests as they are, the others' approaching their average with its age) with its deviation. Among candidates that are equal within it two are drawn by likely free slots and the better one is chosen. Objects keep their candidates; further ones in rank order only in place of a refusal. Requests without an object choose among all endpoints of their side. Small fleets keep the earlier decision. Allowed regions are computed once a choice, as there may be more than a hundred candidates.

--- a/packages/gypsumstage-instance/src/InstanceGauges.ts
+++ b/packages/gypsumstage-instance/src/InstanceGauges.ts
@@ -1,3 +1,5 @@
+import type { LoadSummary } from "@gypsumstage/steering/traffic/LoadSummary";
+
 /** Values that are read when the metrics are scraped; an undefined value is left out. */
 export interface InstanceGauges {
     readonly policyVersion: number | undefined;
@@ -10,6 +12,8 @@
     readonly copyAgeMs: number | undefined;
     /** Retries and hedges that the budget still allows, by service. */
     readonly retriesLeft: Readonly<Record<string, number>>;
+    /** Loads that the endpoints stated, by service. */
+    readonly endpointLoads: ReadonlyMap<string, LoadSummary>;
     readonly suspectRequests: number;
     /** Number of services to whose endpoints no connection can be opened. */
     readonly cutServices: number;
--- a/packages/gypsumstage-instance/src/InstanceMetrics.ts
+++ b/packages/gypsumstage-instance/src/InstanceMetrics.ts
@@ -10,6 +10,8 @@
     readonly recordWait: (service: string, waitedMs: number) => void;
     /** Counts an attempt at an endpoint that is known to have stated a rate limit. */
     readonly countRateLimitedAttempt: (service: string) => void;
+    /** Counts a choice of an endpoint by stated load: one of the usual candidates, or a further one because those were full. */
+    readonly countPlacement: (service: string, candidate: "usual" | "further") => void;
     /** Counts a permit for a request to a rate-limited endpoint. */
     readonly countPermit: (service: string, result: "granted" | "denied") => void;
     /** Counts a request that was passed on to another instance, or by one, and what came of it. */
--- a/packages/gypsumstage-instance/src/createInstanceMetrics.ts
+++ b/packages/gypsumstage-instance/src/createInstanceMetrics.ts
@@ -53,6 +53,27 @@
     return gauge;
 };
 
+const createLoadGauge = (registry: Registry, readGauges: () => InstanceGauges): Gauge => {
+    const gauge: Gauge = new Gauge({
+        name: "gypsumstage_endpoint_load",
+        help:
+            "Loads that endpoints stated last, by service: requests per slot, share of overloaded ones, age of the figures",
+        labelNames: ["service", "figure"],
+        registers: [registry],
+        collect: () => {
+            gauge.reset();
+            for (const [service, summary] of readGauges().endpointLoads) {
+                gauge.set({ service, figure: "endpoints" }, summary.endpoints);
+                gauge.set({ service, figure: "mean_per_slot" }, summary.meanPerSlot);
+                gauge.set({ service, figure: "max_per_slot" }, summary.maxPerSlot);
+                gauge.set({ service, figure: "overloaded_share" }, summary.overloadedShare);
+                gauge.set({ service, figure: "mean_age_seconds" }, summary.meanAgeMs / MS_PER_SECOND);
+            }
+        },
+    });
+    return gauge;
+};
+
 /**
  * Creates the metrics of an instance.
  *
@@ -96,6 +117,13 @@
         labelNames: ["service"],
         registers: [registry],
     });
+    const placements = new Counter({
+        name: "gypsumstage_placements_total",
+        help:
+            "Choices of an endpoint by the stated loads, by service and whether it was beyond the usual candidates",
+        labelNames: ["service", "candidate"],
+        registers: [registry],
+    });
     const permits = new Counter({
         name: "gypsumstage_permits_total",
         help: "Permits for requests to rate-limited endpoints, by service and what came of them",
@@ -138,6 +166,7 @@
     });
     createStateGauge(registry, readGauges);
     createRetriesGauge(registry, readGauges);
+    createLoadGauge(registry, readGauges);
     return {
         registry,
         recordReply: (reply, labels, tookMs) => {
@@ -148,6 +177,7 @@
         },
         recordWait: (service, waitedMs) => waits.observe({ service }, waitedMs / MS_PER_SECOND),
         countRateLimitedAttempt: service => rateLimitedAttempts.inc({ service }),
+        countPlacement: (service, candidate) => placements.inc({ service, candidate }),
         countPermit: (service, result) => permits.inc({ service, result }),
         countRelay: (direction, result) => relays.inc({ direction, result }),
         recordAttempt: (service, classification, tookMs) =>
--- a/packages/gypsumstage-instance/src/request/createAttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/createAttemptSet.ts
@@ -2,10 +2,10 @@
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import type { Placement } from "@gypsumstage/steering/traffic/Placement";
 import type { PlacementCandidate } from "@gypsumstage/steering/traffic/PlacementCandidate";
-import { placeRequest } from "@gypsumstage/steering/traffic/placeRequest";
 import type { AttemptSet } from "./AttemptSet.js";
 import type { AttemptStart } from "./AttemptStart.js";
 import type { CallerRequest } from "./CallerRequest.js";
+import { choosePlacement } from "./choosePlacement.js";
 import { listPlacementCandidates } from "./listPlacementCandidates.js";
 import type { PlacementTrace } from "./PlacementTrace.js";
 import type { RequestContext } from "./RequestContext.js";
@@ -48,6 +48,8 @@
     let unsent = 0;
     let mayHaveRun = false;
     let isAborted = false;
+    const listCandidates = (): readonly PlacementCandidate[] =>
+        listPlacementCandidates(ctx, route, service, key, req.objectKey !== undefined, tried);
     const addTrace = (placement: Placement, candidates: readonly PlacementCandidate[]): void => {
         const candidate = placement.kind === "placed"
             ? candidates.find(each => each.id === placement.id)
@@ -62,14 +64,19 @@
                 isWarm: candidate.isWarm,
                 slowness: Number(candidate.slowness.toFixed(2)),
             });
+            if ("isFurther" in candidate) {
+                ctx.metrics.countPlacement(service, candidate.isFurther ? "further" : "usual");
+            }
         }
     };
-    const choosePlacement = (candidates: readonly PlacementCandidate[]): Placement => {
+    const chooseAllowed = (candidates: readonly PlacementCandidate[]): Placement => {
         const typicalMs = ctx.tracker.typicalMs(service, route.targetLatencyMs);
         const remainingMs = deadlineAtMs - monotonicNow();
-        const allowed = candidates.filter(candidate => ctx.regionShiftLimiter.allows(candidate.region));
-        const placement = placeRequest(allowed, typicalMs, remainingMs);
-        return placement.kind === "placed" ? placement : placeRequest(candidates, typicalMs, remainingMs);
+        const regions = new Set(candidates.map(candidate => candidate.region));
+        const allowedRegions = new Set([...regions].filter(ctx.regionShiftLimiter.allows));
+        const allowed = candidates.filter(candidate => allowedRegions.has(candidate.region));
+        const placement = choosePlacement(allowed, typicalMs, remainingMs);
+        return placement.kind === "placed" ? placement : choosePlacement(candidates, typicalMs, remainingMs);
     };
     /** Sends the request and returns true, unless the endpoint wants none any more. */
     const start = (placement: Placement, candidates: readonly PlacementCandidate[]): boolean => {
@@ -130,8 +137,8 @@
     };
     const startNextPlaced = async (): Promise<AttemptStart> => {
         for (let permits = 0; permits < MAX_PERMITS; permits++) {
-            const candidates = listPlacementCandidates(ctx, route, service, key, tried);
-            const placement = choosePlacement(candidates);
+            const candidates = listCandidates();
+            const placement = chooseAllowed(candidates);
             if (placement.kind !== "placed") {
                 return placement.kind === "no-endpoint" ? explainNoEndpoint() : placement;
             }
@@ -173,12 +180,12 @@
                 );
                 return;
             }
-            const free = listPlacementCandidates(ctx, route, service, key, tried)
+            const free = listCandidates()
                 .filter(hasFreeSlot)
                 .filter(needsNoPermit);
             const isSuspect = ctx.suspects.isSuspect(req.fingerprint);
             if (free.length > 0 && !isSuspect && ctx.retryBudget.tryTake(service)) {
-                start(choosePlacement(free), free);
+                start(chooseAllowed(free), free);
             }
         },
         running: () => [...running.values()].map(attempt => attempt.finished),
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -29,6 +29,7 @@
 import { createUpstreamConnector } from "./upstream/createUpstreamConnector.js";
 import { registerHealthChecks } from "./upstream/registerHealthChecks.js";
 import { startUpstreams } from "./upstream/startUpstreams.js";
+import { summarizeEndpointLoads } from "./upstream/summarizeEndpointLoads.js";
 
 /** Time-out of a fetch from another instance: a few round trips between regions; then another instance is asked. */
 const RPC_TIMEOUT_MS = 500;
@@ -121,6 +122,7 @@
         copyAgeMs: copyAgeMs(),
         retriesLeft: retryBudget.remaining(),
         cutServices: reach.cutServices().length,
+        endpointLoads: summarizeEndpointLoads(fleet.view(), tracker.loads),
         suspectRequests: coordination.suspects.size(),
     }));
     const peers = await startPeerExchange(cfg.seeds, createReport, rpc, metrics, log);
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/overloadRecovery.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/overloadRecovery.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { placeByEstimate } from "../../../traffic/placeByEstimate.js";
 import type { Placement } from "../../../traffic/Placement.js";
 import type { PlacementCandidate } from "../../../traffic/PlacementCandidate.js";
 import { placeRequest } from "../../../traffic/placeRequest.js";
@@ -119,6 +120,31 @@
     return placement.kind === "placed" ? placement.id : undefined;
 };
 
+/** Further candidates are offered as an instance does by stated loads. */
+const chooseByEstimate: Choose = (key, fleet) => {
+    const candidates = rankEndpoints(key, endpoints, "kutch", 1, { primarySide: 6, otherSide: 0 });
+    const placement: Placement = placeByEstimate(
+        candidates.map(({ id, region, slots }, index) => ({
+            id,
+            region,
+            slots,
+            inFlight: load(fleet.get(id)),
+            newInFlight: 1,
+            deviation: 1,
+            isWarm: index === 0,
+            isOnPrimarySide: true,
+            isFurther: index >= PRIMARY_SIDE_CANDIDATES,
+            slowness: 1,
+            errorShare: 0,
+            roundTripMs: 2,
+        })),
+        WARM_MS,
+        3_000,
+        createRandom(load(fleet.get(candidates[0]?.id ?? ""))),
+    );
+    return placement.kind === "placed" ? placement.id : undefined;
+};
+
 test("a peak on cold endpoints leads to lasting overload when requests are placed by load alone", () => {
     assert.ok(simulatePeak(chooseLeastLoaded) < 0.4);
 });
@@ -127,3 +153,8 @@
     const share = simulatePeak(chooseByObject);
     assert.ok(share > 0.9, String(share));
 });
+
+test("further candidates for full usual ones do not evict so much that work stays cold after the peak", () => {
+    const share = simulatePeak(chooseByEstimate);
+    assert.ok(share > 0.9, String(share));
+});
--- /dev/null
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/placeByEstimate.test.ts
@@ -0,0 +1,94 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { EstimatedCandidate } from "../../../traffic/EstimatedCandidate.js";
+import { placeByEstimate } from "../../../traffic/placeByEstimate.js";
+import { simulateChoosers } from "./simulateChoosers.js";
+
+const candidate = (id: string, fields: Partial<EstimatedCandidate> = {}): EstimatedCandidate => ({
+    id,
+    region: "kutch",
+    slots: 4,
+    inFlight: 0,
+    newInFlight: 0,
+    deviation: 0.5,
+    isWarm: true,
+    isOnPrimarySide: true,
+    isFurther: false,
+    slowness: 1,
+    errorShare: 0,
+    roundTripMs: 2,
+    ...fields,
+});
+
+/** Returns how often each candidate is chosen out of 1,000 times, by evenly spread draws. */
+const countChoices = (candidates: readonly EstimatedCandidate[]): Readonly<Record<string, number>> => {
+    const counts: Record<string, number> = {};
+    let draws = 0;
+    const random = (): number => (draws++ * 0.618_033_988_7) % 1;
+    for (let request = 0; request < 1_000; request++) {
+        const placement = placeByEstimate(candidates, 500, 5_000, random);
+        const id = placement.kind === "placed" ? placement.id : placement.kind;
+        counts[id] = (counts[id] ?? 0) + 1;
+    }
+    return counts;
+};
+
+test("many choosers with the same figures do not all choose the best endpoint, and a full one gets little", () => {
+    const counts = countChoices([
+        candidate("idle"),
+        candidate("idle too"),
+        candidate("half", { inFlight: 2 }),
+        candidate("full", { inFlight: 6 }),
+    ]);
+    assert.ok(Math.abs((counts["idle"] ?? 0) - (counts["idle too"] ?? 0)) < 100, JSON.stringify(counts));
+    assert.ok((counts["half"] ?? 0) > 50 && (counts["full"] ?? 0) < 20, JSON.stringify(counts));
+});
+
+test("figures without meaning any more lead to an even distribution", () => {
+    const old = { deviation: 2, newInFlight: 3 };
+    const counts = countChoices([
+        candidate("e-1", { ...old, inFlight: 3 }),
+        candidate("e-2", { ...old, inFlight: 3 }),
+    ]);
+    assert.ok(Math.abs((counts["e-1"] ?? 0) - (counts["e-2"] ?? 0)) < 100, JSON.stringify(counts));
+});
+
+test("warm data: a free slot elsewhere does not draw requests from the object's usual endpoint", () => {
+    const usual = candidate("usual", { inFlight: 3 });
+    assert.deepEqual(
+        countChoices([usual, candidate("further", { isWarm: false, isFurther: true })]),
+        { usual: 1_000 },
+    );
+});
+
+test("usual candidates full: the next ones in the object's order are used in place of a refusal, the rest is not", () => {
+    const usual = [
+        candidate("primary", { inFlight: 12 }),
+        candidate("second", { isWarm: false, inFlight: 4 }),
+    ];
+    const further = ["f-1", "f-2", "f-3"].map(id => candidate(id, { isWarm: false, isFurther: true }));
+    assert.deepEqual(Object.keys(countChoices([...usual, ...further])).sort(), ["f-1", "f-2"]);
+    const full = further.map(each => ({ ...each, inFlight: 4 }));
+    assert.deepEqual(countChoices([...usual, ...full]), { "no-room": 1_000 });
+});
+
+test("an endpoint that is slow at the moment gets less than its equal", () => {
+    const counts = countChoices([candidate("usual", { inFlight: 3 }), candidate("slow", { slowness: 2.5 })]);
+    assert.deepEqual(counts, { usual: 1_000 });
+});
+
+const SIZES = { ageMs: 200, endpoints: 30, slots: 4, load: 0.85 } as const;
+
+for (const choosers of [8, 90, 300]) {
+    test(`old figures, ${choosers} choosers: endpoints are overloaded less of the time than by any other policy`, () => {
+        const { overloadedShare, waitP99Ms } = simulateChoosers({ ...SIZES, policy: "estimate", choosers });
+        for (const policy of ["random", "least reported", "two choices", "present code"] as const) {
+            const other = simulateChoosers({ ...SIZES, policy, choosers });
+            assert.ok(overloadedShare < other.overloadedShare, `${policy} ${other.overloadedShare}`);
+            assert.ok(
+                policy === "two choices" || waitP99Ms < other.waitP99Ms,
+                `${policy} ${other.waitP99Ms}`,
+            );
+        }
+    });
+}
--- a/packages/gypsumstage-steering/src/traffic/estimateLoad.ts
+++ b/packages/gypsumstage-steering/src/traffic/estimateLoad.ts
@@ -30,6 +30,7 @@
     const finishedOrNew = Math.max(meanOthersInFlight, othersInFlight) * (1 - remainingShare ** 2);
     return {
         inFlight: ownInFlight + Math.max(reportedInFlight, expectedOthers),
+        newInFlight: meanOthersInFlight * (1 - remainingShare),
         deviation: Math.sqrt(MIN_DEVIATION ** 2 + finishedOrNew),
     };
 };
--- /dev/null
+++ b/packages/gypsumstage-steering/src/traffic/placeByEstimate.ts
@@ -0,0 +1,117 @@
+import type { EstimatedCandidate } from "./EstimatedCandidate.js";
+import { expectExcess } from "./expectExcess.js";
+import type { Placement } from "./Placement.js";
+
+/**
+ * Cost of a request on cold data relative to one on warm data. On the object's primary side it is lower, as the data remain
+ * useful there; at further endpoints it includes the cost of the data that it evicts.
+ */
+const COLD_PRIMARY_SIDE_COST_FACTOR = 2;
+const COLD_COST_FACTOR = 5;
+/** Requests per slot that an endpoint may have in flight, queued ones included, on warm and on cold data. */
+const MAX_WARM_QUEUE_FACTOR = 3;
+const MAX_COLD_QUEUE_FACTOR = 1;
+const MIN_RETRY_AFTER_MS = 100;
+/**
+ * Weight of the slots that become free within the age of the figures: what follows from a choice is seen in figures that are as old
+ * again.
+ */
+const TURNOVER_WEIGHT = 2;
+/** Further candidates among which a request chooses; more of them would evict the data of more objects. */
+const FURTHER_CHOICES = 2;
+/** Deviations by which two costs may differ to be taken for equal. */
+const CLOSE_DEVIATIONS = 2;
+
+interface RatedCandidate {
+    readonly candidate: EstimatedCandidate;
+    readonly waitMs: number;
+    readonly costMs: number;
+    /** Slots that are expected to be free. */
+    readonly freeSlots: number;
+    /** Deviation of the cost that follows from that of the load. */
+    readonly deviationMs: number;
+}
+
+const costFactor = (candidate: EstimatedCandidate): number => {
+    if (candidate.isWarm) {
+        return 1;
+    }
+    return candidate.isOnPrimarySide && !candidate.isFurther
+        ? COLD_PRIMARY_SIDE_COST_FACTOR
+        : COLD_COST_FACTOR;
+};
+
+const rate = (candidate: EstimatedCandidate, workMs: number): RatedCandidate => {
+    const { inFlight, deviation, slots, slowness } = candidate;
+    const slotMs = workMs * slowness / slots;
+    const waitMs = expectExcess(inFlight + 1 - slots, deviation) * slotMs;
+    const freeSlots = expectExcess(slots - inFlight, deviation);
+    const totalMs = waitMs + workMs * slowness * costFactor(candidate) + candidate.roundTripMs;
+    return {
+        candidate,
+        waitMs,
+        costMs: totalMs / Math.max(0.1, 1 - candidate.errorShare),
+        freeSlots,
+        deviationMs: deviation * slotMs,
+    };
+};
+
+const hasQueueSpace = ({ candidate }: RatedCandidate): boolean =>
+    candidate.inFlight < candidate.slots * (candidate.isWarm ? MAX_WARM_QUEUE_FACTOR : MAX_COLD_QUEUE_FACTOR);
+
+/** Draws one in proportion to the slots that are free, or will have become so until the next figures. */
+const drawByCapacity = (
+    rated: readonly RatedCandidate[],
+    random: () => number,
+): RatedCandidate | undefined => {
+    const weights = rated.map(({ candidate, freeSlots }) =>
+        (freeSlots + TURNOVER_WEIGHT * candidate.newInFlight) / candidate.slowness
+    );
+    let rest = random() * weights.reduce((sum, each) => sum + each, 0);
+    return rated.find((_, index) => {
+        rest -= weights[index] ?? 0;
+        return rest < 0;
+    });
+};
+
+/**
+ * Chooses among candidates whose load is estimated from figures of some age, as many instances do at the same time by the
+ * same figures. If all chose the best one, they would overload it until the next figure. So of the candidates whose expected
+ * finish differs by less than the figures are uncertain, two are drawn in proportion to the slots that are likely free, and
+ * the better one is chosen. The object's usual candidates come first, as work on warm data takes a fraction of the time; the further ones are used only
+ * in place of a refusal.
+ *
+ * @param candidates - the candidates in the order of preference
+ * @param workMs - typical latency of a request on warm data, in milliseconds
+ * @param remainingMs - time until the deadline, in milliseconds
+ * @param random - returns a random number from 0 to below 1
+ * @returns the endpoint, or the reason why there is none
+ */
+export const placeByEstimate = (
+    candidates: readonly EstimatedCandidate[],
+    workMs: number,
+    remainingMs: number,
+    random: () => number,
+): Placement => {
+    if (candidates.length === 0) {
+        return { kind: "no-endpoint" };
+    }
+    const rated = candidates.map(candidate => rate(candidate, workMs));
+    const open = rated.filter(each => hasQueueSpace(each) && each.waitMs < remainingMs);
+    const usual = open.filter(each => !each.candidate.isFurther);
+    const considered = usual.length > 0 ? usual : open.slice(0, FURTHER_CHOICES);
+    const best = considered.reduce<RatedCandidate | undefined>(
+        (left, right) => left === undefined || right.costMs < left.costMs ? right : left,
+        undefined,
+    );
+    if (best === undefined) {
+        const shortestWaitMs = Math.min(...rated.map(each => each.waitMs));
+        return { kind: "no-room", retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, shortestWaitMs / 2) };
+    }
+    const close = considered.filter(each =>
+        each.costMs - best.costMs <= CLOSE_DEVIATIONS * Math.hypot(each.deviationMs, best.deviationMs)
+    );
+    const draws = [drawByCapacity(close, random) ?? best, drawByCapacity(close, random) ?? best] as const;
+    const chosen = draws[1].costMs < draws[0].costMs ? draws[1] : draws[0];
+    return { kind: "placed", id: chosen.candidate.id, expectedMs: chosen.costMs };
+};
--- a/packages/gypsumstage-steering/src/traffic/rankEndpoints.ts
+++ b/packages/gypsumstage-steering/src/traffic/rankEndpoints.ts
@@ -3,8 +3,13 @@
 import { PRIMARY_SIDE_CANDIDATES } from "./PRIMARY_SIDE_CANDIDATES.js";
 
 const HASH_RANGE = 2 ** 32;
-/** Number of candidate endpoints of an object that are not on its primary side. */
-const OTHER_SIDE_CANDIDATES = 1;
+/** Number of candidate endpoints of an object, on its primary side and on the other one. */
+interface CandidateCounts {
+    readonly primarySide: number;
+    readonly otherSide: number;
+}
+
+const USUAL_COUNTS: CandidateCounts = { primarySide: PRIMARY_SIDE_CANDIDATES, otherSide: 1 };
 
 const score = (key: string, endpoint: UpstreamEndpoint): number => {
     const uniform = (hashText(`${key}/${endpoint.id}`) + 1) / (HASH_RANGE + 1);
@@ -35,22 +40,21 @@
  * @param endpoints - the usable endpoints of the service
  * @param region - the region of this instance
  * @param localPrimaryShare - share of the objects whose primary endpoint is in this region, 0 to 1
- * @returns the candidates, the primary one first
+ * @param counts - how many candidates to return; more only where an object needs more, for the reason above
+ * @returns the candidates, the primary one first, those of its side before those of the other one
  */
 export const rankEndpoints = (
     key: string,
     endpoints: readonly UpstreamEndpoint[],
     region: string,
     localPrimaryShare: number,
+    counts: CandidateCounts = USUAL_COUNTS,
 ): readonly UpstreamEndpoint[] => {
     const isInRegion = (endpoint: UpstreamEndpoint): boolean => endpoint.region === region;
-    const inRegion = selectTop(key, endpoints.filter(isInRegion), PRIMARY_SIDE_CANDIDATES);
-    const elsewhere = selectTop(
-        key,
-        endpoints.filter(endpoint => !isInRegion(endpoint)),
-        PRIMARY_SIDE_CANDIDATES,
-    );
+    const count = Math.max(counts.primarySide, counts.otherSide);
+    const inRegion = selectTop(key, endpoints.filter(isInRegion), count);
+    const elsewhere = selectTop(key, endpoints.filter(endpoint => !isInRegion(endpoint)), count);
     return isPrimaryLocal(key, localPrimaryShare)
-        ? [...inRegion, ...elsewhere.slice(0, OTHER_SIDE_CANDIDATES)]
-        : [...elsewhere, ...inRegion.slice(0, OTHER_SIDE_CANDIDATES)];
+        ? [...inRegion.slice(0, counts.primarySide), ...elsewhere.slice(0, counts.otherSide)]
+        : [...elsewhere.slice(0, counts.primarySide), ...inRegion.slice(0, counts.otherSide)];
 };
--- a/packages/gypsumstage-steering/src/traffic/updateLoadFigure.ts
+++ b/packages/gypsumstage-steering/src/traffic/updateLoadFigure.ts
@@ -1,8 +1,8 @@
 import type { EndpointLoad } from "./EndpointLoad.js";
 import type { LoadFigure } from "./LoadFigure.js";
 
-/** Weight of the newest figure in the moving average, which is exponential. */
-const SMOOTHING_FACTOR = 0.2;
+/** Time after which a figure has lost most of its weight in the moving average; long beside the time of a request. */
+const AVERAGE_MS = 8_000;
 
 /**
  * Takes up a load that an endpoint stated. Figures come with responses and with the reports of other instances, so they
@@ -25,10 +25,12 @@
     }
     const othersInFlight = Math.max(0, load.running + load.waiting - ownInFlight);
     const mean = previous?.meanOthersInFlight ?? othersInFlight;
+    const sinceMs = previous === undefined ? 0 : statedAtMs - previous.statedAtMs;
+    const weight = 1 - Math.exp(-sinceMs / AVERAGE_MS);
     return {
         load,
         statedAtMs,
         othersInFlight,
-        meanOthersInFlight: mean + SMOOTHING_FACTOR * (othersInFlight - mean),
+        meanOthersInFlight: mean + weight * (othersInFlight - mean),
     };
 };
