Keep work times by kind, and count waits by the work that is ahead

Two kinds of requests with different work share one service, and its typical latency counted queues in. So the long kind made endpoints look slow, and after a restart a queue of work on cold data was counted as one of work on warm data, so that all waited at their object's primary endpoint.

Where placement goes by stated loads, the typical time is kept for each service and target latency, and the mean of all requests for the service, both from responses of endpoints that state that none waits. The first is the request's own work, the second the wait. A further candidate is now also used where it is expected to cost less than the wait. Elsewhere typicalMs stays as it was.

Ruled out: per route, as retries and relays know the target but not the route.

--- a/packages/gypsumstage-instance/src/request/choosePlacement.ts
+++ b/packages/gypsumstage-instance/src/request/choosePlacement.ts
@@ -21,5 +21,5 @@
     const estimated = candidates.filter(candidate => "deviation" in candidate);
     return estimated.length === 0
         ? placeRequest(candidates, workMs, remainingMs)
-        : placeByEstimate(estimated, workMs, remainingMs, Math.random);
+        : placeByEstimate(estimated, remainingMs, Math.random);
 };
--- a/packages/gypsumstage-instance/src/request/listEstimatedCandidates.ts
+++ b/packages/gypsumstage-instance/src/request/listEstimatedCandidates.ts
@@ -22,8 +22,10 @@
     readonly key: string;
     /** True when the request concerns an object whose data may be warm somewhere. */
     readonly isForObject: boolean;
-    /** Typical latency of a request on warm data, in milliseconds. */
+    /** Typical time of the request on warm data, in milliseconds. */
     readonly workMs: number;
+    /** Mean time of the requests that may wait ahead of it, in milliseconds. */
+    readonly queueWorkMs: number;
 }
 
 /**
@@ -48,7 +50,7 @@
         "id" | "region" | "roundTripMs" | "slowness" | "errorShare"
     >,
 ): readonly EstimatedCandidate[] => {
-    const { key, isForObject, workMs } = demand;
+    const { key, isForObject, workMs, queueWorkMs } = demand;
     const { loads } = ctx.tracker;
     const nowMs = monotonicNow();
     const usualCount = isForObject ? PRIMARY_SIDE_CANDIDATES : eligible.length;
@@ -75,7 +77,7 @@
         const reported = ctx.peers.inFlight(id);
         return figure === undefined
             ? estimateUnstatedLoad(slots, usualLoadPerSlot, own, reported)
-            : estimateLoad(figure, nowMs, own, reported, workMs);
+            : estimateLoad(figure, nowMs, own, reported, queueWorkMs);
     };
     const isAnyWarm = ranked.some(({ id }) => ctx.tracker.isWarm(id, key));
     return ranked.map((endpoint, index) => {
@@ -91,6 +93,8 @@
             isOnPrimarySide: isOnPrimarySide(endpoint),
             isWarm: !isForObject || ctx.tracker.isWarm(endpoint.id, key) || (index === 0 && !isAnyWarm),
             isFurther: isFurther(index),
+            workMs,
+            queueWorkMs,
         };
     });
 };
--- a/packages/gypsumstage-instance/src/request/listPlacementCandidates.ts
+++ b/packages/gypsumstage-instance/src/request/listPlacementCandidates.ts
@@ -55,8 +55,10 @@
         ...estimateHealth(candidate),
     });
     if (ctx.choosesByStatedLoad()) {
-        const workMs = ctx.tracker.typicalMs(service, route.targetLatencyMs);
-        return listEstimatedCandidates(ctx, service, eligible, { key, isForObject, workMs }, describe);
+        const workMs = ctx.tracker.workTimes.typicalMs(service, route.targetLatencyMs);
+        const queueWorkMs = ctx.tracker.workTimes.meanMs(service) ?? workMs;
+        const demand = { key, isForObject, workMs, queueWorkMs };
+        return listEstimatedCandidates(ctx, service, eligible, demand, describe);
     }
     const candidates = rankEndpoints(key, eligible, ctx.region, ctx.localPrimaryShare(service));
     const isAnyWarm = candidates.some(candidate => ctx.tracker.isWarm(candidate.id, key));
--- a/packages/gypsumstage-instance/src/request/startAttempt.ts
+++ b/packages/gypsumstage-instance/src/request/startAttempt.ts
@@ -84,7 +84,9 @@
         }
         else if (outcome.kind === "answered") {
             const isGood = classification.kind === "final" && !classification.isError;
-            const typicalMs = tracker.typicalMs(endpoint.service, targetLatencyMs);
+            const typicalMs = ctx.choosesByStatedLoad()
+                ? tracker.workTimes.typicalMs(endpoint.service, targetLatencyMs)
+                : tracker.typicalMs(endpoint.service, targetLatencyMs);
             tracker.recordHealthEvent(endpoint.id, {
                 kind: "answered",
                 nowMs,
@@ -94,6 +96,9 @@
             if (isGood) {
                 tracker.recordLatency(endpoint.service, nowMs - startedAtMs);
             }
+            if (isGood && ctx.headerCodec.readLoad(outcome.headers)?.waiting === 0) {
+                tracker.workTimes.record(endpoint.service, targetLatencyMs, nowMs - startedAtMs);
+            }
         }
     };
     /** Records the load that the endpoint states, whether it says that it is leaving, and whether it wants no requests for some time. */
--- a/packages/gypsumstage-instance/src/upstream/EndpointTracker.ts
+++ b/packages/gypsumstage-instance/src/upstream/EndpointTracker.ts
@@ -2,6 +2,7 @@
 import type { EndpointHealth } from "@gypsumstage/steering/traffic/EndpointHealth";
 import type { HealthEvent } from "@gypsumstage/steering/traffic/HealthEvent";
 import type { EndpointLoads } from "./EndpointLoads.js";
+import type { WorkTimes } from "./WorkTimes.js";
 
 /** Health, requests in flight and warm objects of each endpoint, as observed by this instance. */
 export interface EndpointTracker {
@@ -15,6 +16,8 @@
     readonly inFlightAt: (id: string) => number;
     /** Loads that the endpoints stated. */
     readonly loads: EndpointLoads;
+    /** Times of requests at endpoints that stated that none waits. */
+    readonly workTimes: WorkTimes;
     /** Returns whether this instance recently sent the endpoint a request for the object. */
     readonly isWarm: (id: string, objectKey: string) => boolean;
     /**
--- a/packages/gypsumstage-instance/src/upstream/createEndpointTracker.ts
+++ b/packages/gypsumstage-instance/src/upstream/createEndpointTracker.ts
@@ -7,6 +7,7 @@
 import { updateTypicalLatency } from "@gypsumstage/steering/traffic/updateTypicalLatency";
 import { createEndpointLoads } from "./createEndpointLoads.js";
 import { createWarmObjects } from "./createWarmObjects.js";
+import { createWorkTimes } from "./createWorkTimes.js";
 import type { EndpointTracker } from "./EndpointTracker.js";
 
 /** Typical latency before the first measurement, as a fraction of the route's target. */
@@ -55,6 +56,7 @@
         inFlight: () => Object.fromEntries(inFlight),
         inFlightAt,
         loads,
+        workTimes: createWorkTimes(),
         isWarm: warmObjects.has,
         typicalMs: (service, targetLatencyMs) => {
             const currentMs = typicalByService.get(service) ?? targetLatencyMs * INITIAL_TYPICAL_FRACTION;
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/overloadRecovery.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/overloadRecovery.test.ts
@@ -134,11 +134,12 @@
             isWarm: index === 0,
             isOnPrimarySide: true,
             isFurther: index >= PRIMARY_SIDE_CANDIDATES,
+            workMs: WARM_MS,
+            queueWorkMs: COLD_MS,
             slowness: 1,
             errorShare: 0,
             roundTripMs: 2,
         })),
-        WARM_MS,
         3_000,
         createRandom(load(fleet.get(candidates[0]?.id ?? ""))),
     );
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/placeByEstimate.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/placeByEstimate.test.ts
@@ -14,6 +14,8 @@
     isWarm: true,
     isOnPrimarySide: true,
     isFurther: false,
+    workMs: 500,
+    queueWorkMs: 500,
     slowness: 1,
     errorShare: 0,
     roundTripMs: 2,
@@ -26,7 +28,7 @@
     let draws = 0;
     const random = (): number => (draws++ * 0.618_033_988_7) % 1;
     for (let request = 0; request < 1_000; request++) {
-        const placement = placeByEstimate(candidates, 500, 5_000, random);
+        const placement = placeByEstimate(candidates, 5_000, random);
         const id = placement.kind === "placed" ? placement.id : placement.kind;
         counts[id] = (counts[id] ?? 0) + 1;
     }
@@ -77,6 +79,24 @@
     assert.deepEqual(counts, { usual: 1_000 });
 });
 
+test("restart of all: where the queue is work on cold data, a free endpoint is better than to wait for long", () => {
+    const queued = { inFlight: 9, queueWorkMs: 3_000 };
+    const counts = countChoices([
+        candidate("primary", queued),
+        candidate("further", { isWarm: false, isFurther: true }),
+    ]);
+    assert.deepEqual(counts, { further: 1_000 });
+});
+
+test("short requests behind long ones: the wait counts by the work that is ahead, not by the request's own", () => {
+    const short = { workMs: 100, queueWorkMs: 2_000, isOnPrimarySide: true };
+    const counts = countChoices([
+        candidate("primary", { ...short, inFlight: 5 }),
+        candidate("second", { ...short, isWarm: false, inFlight: 1 }),
+    ]);
+    assert.deepEqual(counts, { second: 1_000 });
+});
+
 const SIZES = { ageMs: 200, endpoints: 30, slots: 4, load: 0.85 } as const;
 
 for (const choosers of [8, 90, 300]) {
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/simulateChoosers.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/simulateChoosers.ts
@@ -128,9 +128,15 @@
                         const { inFlight, newInFlight, deviation } = figure === undefined
                             ? { inFlight: ownAt(index), newInFlight: 0, deviation: 1 }
                             : estimateLoad(figure, nowMs, ownAt(index), 0, meanWorkMs);
-                        return { ...candidateOf(index, inFlight), newInFlight, deviation, isFurther: false };
+                        return {
+                            ...candidateOf(index, inFlight),
+                            newInFlight,
+                            deviation,
+                            isFurther: false,
+                            workMs: WORK_MS,
+                            queueWorkMs: meanWorkMs,
+                        };
                     }),
-                    WORK_MS,
                     60_000,
                     random,
                 );
--- a/packages/gypsumstage-steering/src/traffic/EstimatedCandidate.ts
+++ b/packages/gypsumstage-steering/src/traffic/EstimatedCandidate.ts
@@ -6,6 +6,10 @@
     readonly newInFlight: number;
     /** Standard deviation of `inFlight`. */
     readonly deviation: number;
-    /** True beyond the object's usual candidates; used only when those are likely full. */
+    /** Typical time of the request on warm data, in milliseconds. */
+    readonly workMs: number;
+    /** Mean time of the requests that may wait ahead of it, in milliseconds. */
+    readonly queueWorkMs: number;
+    /** True beyond the object's usual candidates; used when those are likely full or would keep it waiting for long. */
     readonly isFurther: boolean;
 }
--- a/packages/gypsumstage-steering/src/traffic/placeByEstimate.ts
+++ b/packages/gypsumstage-steering/src/traffic/placeByEstimate.ts
@@ -41,9 +41,9 @@
         : COLD_COST_FACTOR;
 };
 
-const rate = (candidate: EstimatedCandidate, workMs: number): RatedCandidate => {
-    const { inFlight, deviation, slots, slowness } = candidate;
-    const slotMs = workMs * slowness / slots;
+const rate = (candidate: EstimatedCandidate): RatedCandidate => {
+    const { inFlight, deviation, slots, slowness, workMs, queueWorkMs } = candidate;
+    const slotMs = queueWorkMs * slowness / slots;
     const waitMs = expectExcess(inFlight + 1 - slots, deviation) * slotMs;
     const freeSlots = expectExcess(slots - inFlight, deviation);
     const totalMs = waitMs + workMs * slowness * costFactor(candidate) + candidate.roundTripMs;
@@ -78,29 +78,27 @@
  * Chooses among candidates whose load is estimated from figures of some age, as many instances do at the same time by the
  * same figures. If all chose the best one, they would overload it until the next figure. So of the candidates whose expected
  * finish differs by less than the figures are uncertain, two are drawn in proportion to the slots that are likely free, and
- * the better one is chosen. The object's usual candidates come first, as work on warm data takes a fraction of the time; the further ones are used only
- * in place of a refusal.
+ * the better one is chosen. The object's usual candidates come first, as work on warm data takes a fraction of the time; a further one is used in place of a
+ * refusal, or of a wait that costs more than work on cold data and what that evicts.
  *
  * @param candidates - the candidates in the order of preference
- * @param workMs - typical latency of a request on warm data, in milliseconds
  * @param remainingMs - time until the deadline, in milliseconds
  * @param random - returns a random number from 0 to below 1
  * @returns the endpoint, or the reason why there is none
  */
 export const placeByEstimate = (
     candidates: readonly EstimatedCandidate[],
-    workMs: number,
     remainingMs: number,
     random: () => number,
 ): Placement => {
     if (candidates.length === 0) {
         return { kind: "no-endpoint" };
     }
-    const rated = candidates.map(candidate => rate(candidate, workMs));
+    const rated = candidates.map(rate);
     const open = rated.filter(each => hasQueueSpace(each) && each.waitMs < remainingMs);
     const usual = open.filter(each => !each.candidate.isFurther);
-    const considered = usual.length > 0 ? usual : open.slice(0, FURTHER_CHOICES);
-    const best = considered.reduce<RatedCandidate | undefined>(
+    const further = open.filter(each => each.candidate.isFurther).slice(0, FURTHER_CHOICES);
+    const best = [...usual, ...further].reduce<RatedCandidate | undefined>(
         (left, right) => left === undefined || right.costMs < left.costMs ? right : left,
         undefined,
     );
@@ -108,7 +106,8 @@
         const shortestWaitMs = Math.min(...rated.map(each => each.waitMs));
         return { kind: "no-room", retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, shortestWaitMs / 2) };
     }
-    const close = considered.filter(each =>
+    const equivalent = best.candidate.isFurther ? further : usual;
+    const close = equivalent.filter(each =>
         each.costMs - best.costMs <= CLOSE_DEVIATIONS * Math.hypot(each.deviationMs, best.deviationMs)
     );
     const draws = [drawByCapacity(close, random) ?? best, drawByCapacity(close, random) ?? best] as const;
