Hedge only where the second endpoint likely starts at once

A second attempt went to any candidate whose estimated requests were below its slots, also where that estimate was old, and with stated loads to further candidates, where it runs on cold data and evicts that of other objects.

Where loads are estimated, an endpoint gets a hedge only with a free slot beyond one deviation, and only as a usual candidate. By reported requests the rule is as before. The budget is untouched.

--- a/packages/gypsumstage-instance/src/request/createAttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/createAttemptSet.ts
@@ -2,6 +2,7 @@
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import type { Placement } from "@gypsumstage/steering/traffic/Placement";
 import type { PlacementCandidate } from "@gypsumstage/steering/traffic/PlacementCandidate";
+import { startsAtOnce } from "@gypsumstage/steering/traffic/startsAtOnce";
 import type { AttemptSet } from "./AttemptSet.js";
 import type { AttemptStart } from "./AttemptStart.js";
 import type { CallerRequest } from "./CallerRequest.js";
@@ -16,8 +17,6 @@
 const MAX_PERMITS = 3;
 const MIN_RETRY_AFTER_MS = 100;
 
-const hasFreeSlot = (candidate: PlacementCandidate): boolean => candidate.inFlight < candidate.slots;
-
 /**
  * Creates the empty set of attempts of one request. Each attempt goes to another endpoint. Endpoints in
  * regions that the shift limiter does not allow at the moment are chosen only if no allowed one can take the
@@ -181,7 +180,7 @@
                 return;
             }
             const free = listCandidates()
-                .filter(hasFreeSlot)
+                .filter(startsAtOnce)
                 .filter(needsNoPermit);
             const isSuspect = ctx.suspects.isSuspect(req.fingerprint);
             if (free.length > 0 && !isSuspect && ctx.retryBudget.tryTake(service)) {
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/placeByEstimate.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/placeByEstimate.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import type { EstimatedCandidate } from "../../../traffic/EstimatedCandidate.js";
 import { placeByEstimate } from "../../../traffic/placeByEstimate.js";
+import { startsAtOnce } from "../../../traffic/startsAtOnce.js";
 import { simulateChoosers } from "./simulateChoosers.js";
 
 const candidate = (id: string, fields: Partial<EstimatedCandidate> = {}): EstimatedCandidate => ({
@@ -97,6 +98,26 @@
     assert.deepEqual(counts, { second: 1_000 });
 });
 
+test("hedges go to endpoints that likely start them at once, not to those that may be full or keep other objects warm", () => {
+    assert.equal(startsAtOnce(candidate("free", { inFlight: 2 })), true);
+    assert.equal(startsAtOnce(candidate("perhaps full", { inFlight: 3 })), false);
+    assert.equal(startsAtOnce(candidate("old figure", { inFlight: 2, deviation: 2 })), false);
+    assert.equal(startsAtOnce(candidate("further", { isFurther: true })), false);
+    const { id, region, slots, slowness, errorShare, roundTripMs } = candidate("reported");
+    const reported = {
+        id,
+        region,
+        slots,
+        slowness,
+        errorShare,
+        roundTripMs,
+        inFlight: 3,
+        isWarm: true,
+        isOnPrimarySide: true,
+    };
+    assert.equal(startsAtOnce(reported), true);
+});
+
 const SIZES = { ageMs: 200, endpoints: 30, slots: 4, load: 0.85 } as const;
 
 for (const choosers of [8, 90, 300]) {
