Plan what a region gives away ahead of a moving peak

The share of a region's objects at home followed the demand by 0.002 a second, so a peak that moves between regions within a minute or two found it where it had been: no better than fixed shares.

Where placement goes by stated loads, the demand's trend of 5 s is added, which makes up for the window in which it is counted, and the share changes by 0.02 a second while the side that objects leave is nearly full and the other one is less so. Without known loads, as in small fleets, all is as before.

Ruled out: control by loads alone, as moved objects run cold and raise what it follows.

--- a/packages/gypsumstage-instance/src/request/createLocalPrimaryShares.ts
+++ b/packages/gypsumstage-instance/src/request/createLocalPrimaryShares.ts
@@ -1,39 +1,50 @@
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import { computeLocalPrimaryShare } from "@gypsumstage/steering/traffic/computeLocalPrimaryShare";
+import { extrapolateDemand } from "@gypsumstage/steering/traffic/extrapolateDemand";
 import type { FleetView } from "@gypsumstage/steering/traffic/FleetView";
 import type { PeerReport } from "@gypsumstage/steering/traffic/PeerReport";
-import { stepTowards } from "@gypsumstage/steering/traffic/stepTowards";
+import { planLocalPrimaryShare } from "@gypsumstage/steering/traffic/planLocalPrimaryShare";
+import type { SideLoads } from "@gypsumstage/steering/traffic/SideLoads";
 import type { LocalPrimaryShares } from "./LocalPrimaryShares.js";
 
-/** Maximum change of a share per second; low, as an object whose primary endpoint changes is cold at the new one. */
-const MAX_CHANGE_PER_SECOND = 0.002;
 /** Minimum time between two updates of a share. */
 const MIN_UPDATE_INTERVAL_MS = 500;
-const MS_PER_SECOND = 1_000;
+/** Time over which the trend of the demand is taken: by so much the window in which it is counted delays it. */
+const TREND_MS = 5_000;
+
+interface RegionDemand {
+    readonly local: number;
+    readonly total: number;
+}
 
 interface TimedShare {
     readonly share: number;
     readonly updatedAtMs: number;
+    /** Demand within the time of the trend, the oldest first. */
+    readonly demands: readonly { readonly atMs: number; readonly demand: RegionDemand; }[];
 }
 
 /**
  * Creates the function that returns the share of objects whose primary endpoint is in this region. The
  * initial share assumes equal demand in all regions, so that a restarted instance starts from the same
  * candidate endpoints as before. From then on the share follows the demand that all instances report, at a
- * limited rate, so that load fluctuations of a few seconds do not move objects.
+ * limited rate, so that load fluctuations of a few seconds do not move objects. Where the load of the endpoints is known, the
+ * trend of the demand counts, and the rate depends on the need.
  *
  * @param region - the region of this instance
  * @param view - returns the current view of the fleet
  * @param reports - returns the latest reports of all live instances, this one included
+ * @param sideLoads - returns the load of a service's endpoints in this region and in the others; undefined where it is not used
  * @returns the function, which updates the share of a service when called
  */
 export const createLocalPrimaryShares = (
     region: string,
     view: () => FleetView,
     reports: () => readonly Pick<PeerReport, "region" | "demand">[],
+    sideLoads: (service: string) => SideLoads | undefined = () => undefined,
 ): LocalPrimaryShares => {
     const shares = new Map<string, TimedShare>();
-    const sumDemand = (service: string): { readonly local: number; readonly total: number; } => {
+    const sumDemand = (service: string): RegionDemand => {
         const byRegion = new Map<string, number>();
         for (const report of reports()) {
             const demand = report.demand[service] ?? 0;
@@ -58,13 +69,23 @@
         if (previous !== undefined && nowMs - previous.updatedAtMs < MIN_UPDATE_INTERVAL_MS) {
             return previous.share;
         }
-        const demand = previous === undefined ? { local: 1, total: countRegions() } : sumDemand(service);
-        const target = computeLocalPrimaryShare(sumSlots(service), demand);
-        const maxStep = previous === undefined
-            ? 1
-            : MAX_CHANGE_PER_SECOND * (nowMs - previous.updatedAtMs) / MS_PER_SECOND;
-        const share = stepTowards(previous?.share ?? target, target, maxStep);
-        shares.set(service, { share, updatedAtMs: nowMs });
+        if (previous === undefined) {
+            const share = computeLocalPrimaryShare(sumSlots(service), { local: 1, total: countRegions() });
+            shares.set(service, { share, updatedAtMs: nowMs, demands: [] });
+            return share;
+        }
+        const loads = sideLoads(service);
+        const demand = sumDemand(service);
+        const demands = [...previous.demands.filter(each => nowMs - each.atMs <= TREND_MS), {
+            atMs: nowMs,
+            demand,
+        }];
+        const expected = loads === undefined
+            ? demand
+            : extrapolateDemand(demands[0]?.demand ?? demand, demand);
+        const fairShare = computeLocalPrimaryShare(sumSlots(service), expected);
+        const share = planLocalPrimaryShare(previous.share, fairShare, loads, nowMs - previous.updatedAtMs);
+        shares.set(service, { share, updatedAtMs: nowMs, demands });
         return share;
     };
 };
--- a/packages/gypsumstage-instance/src/request/createRequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestContext.ts
@@ -1,6 +1,9 @@
 import type { Log } from "@gypsumstage/shared/Log";
+import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import { computeSideLoads } from "@gypsumstage/steering/traffic/computeSideLoads";
 import type { FleetView } from "@gypsumstage/steering/traffic/FleetView";
 import type { PeerReport } from "@gypsumstage/steering/traffic/PeerReport";
+import type { SideLoads } from "@gypsumstage/steering/traffic/SideLoads";
 import type { Coordination } from "../Coordination.js";
 import type { HeaderCodec } from "../HeaderCodec.js";
 import type { InstanceConfig } from "../InstanceConfig.js";
@@ -45,6 +48,17 @@
         view().policy?.services.find(each => each.name === service)?.coldRequestsPerSecond ?? 1;
     const listLocalReports = (): readonly PeerReport[] =>
         peers.reporting().map(peer => peer.report).filter(report => report.dataCentre === cfg.dataCentre);
+    const { loads } = upstreams.tracker;
+    const choosesByStatedLoad = createLoadSourceChoice(peers, loads);
+    const getSideLoads = (service: string): SideLoads | undefined =>
+        choosesByStatedLoad()
+            ? computeSideLoads(
+                view().endpointsByService.get(service) ?? [],
+                cfg.region,
+                loads.figure,
+                monotonicNow(),
+            )
+            : undefined;
     return {
         region: cfg.region,
         headerCodec,
@@ -73,12 +87,12 @@
         permits: coordination.permits,
         suspects: coordination.suspects,
         retryBudget,
-        choosesByStatedLoad: createLoadSourceChoice(peers, upstreams.tracker.loads),
+        choosesByStatedLoad,
         localPrimaryShare: createLocalPrimaryShares(cfg.region, view, () => [
             { region: cfg.region, demand: retryBudget.demand() },
             ...listLocalReports(),
             ...peers.summaries(),
-        ]),
+        ], getSideLoads),
         bodyMemory: createBodyMemory(cfg.memoryBytes),
         regionShiftLimiter: parts.regionShiftLimiter,
         stopSchedule: parts.stopSchedule,
