Keep an object at its warm endpoint while loads are uncertain

With old figures the deviation of the wait can exceed the cost of work on cold data. Then an object's cold second candidate was drawn as often as its warm primary one, also while that was idle, and endpoints known to be slow as often as others.

Only candidates whose own work takes at most 1.5 times that at the best one are taken for equal to it. Ruled out: a smaller deviation, as the wait is that uncertain.

--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/placeByEstimate.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/placeByEstimate.test.ts
@@ -118,6 +118,17 @@
     assert.equal(startsAtOnce(reported), true);
 });
 
+test("uncertain loads do not spread an object over its cold second candidate, nor requests over an endpoint known to be slow", () => {
+    const uncertain = { deviation: 2, newInFlight: 2, inFlight: 2, queueWorkMs: 1_500 };
+    for (const other of [{ isWarm: false }, { slowness: 2.5 }]) {
+        const counts = countChoices([
+            candidate("primary", uncertain),
+            candidate("other", { ...uncertain, ...other }),
+        ]);
+        assert.deepEqual(counts, { primary: 1_000 });
+    }
+});
+
 const SIZES = { ageMs: 200, endpoints: 30, slots: 4, load: 0.85 } as const;
 
 for (const choosers of [8, 90, 300]) {
--- a/packages/gypsumstage-steering/src/traffic/placeByEstimate.ts
+++ b/packages/gypsumstage-steering/src/traffic/placeByEstimate.ts
@@ -21,10 +21,14 @@
 const FURTHER_CHOICES = 2;
 /** Deviations by which two costs may differ to be taken for equal. */
 const CLOSE_DEVIATIONS = 2;
+/** Work by which a candidate may exceed the best one: work on cold data, or at an endpoint that is slow at the moment, is certain to take longer. */
+const CLOSE_WORK_FACTOR = 1.5;
 
 interface RatedCandidate {
     readonly candidate: EstimatedCandidate;
     readonly waitMs: number;
+    /** Cost of the request's own work. */
+    readonly ownMs: number;
     readonly costMs: number;
     /** Slots that are expected to be free. */
     readonly freeSlots: number;
@@ -46,10 +50,12 @@
     const slotMs = queueWorkMs * slowness / slots;
     const waitMs = expectExcess(inFlight + 1 - slots, deviation) * slotMs;
     const freeSlots = expectExcess(slots - inFlight, deviation);
-    const totalMs = waitMs + workMs * slowness * costFactor(candidate) + candidate.roundTripMs;
+    const ownMs = workMs * slowness * costFactor(candidate);
+    const totalMs = waitMs + ownMs + candidate.roundTripMs;
     return {
         candidate,
         waitMs,
+        ownMs,
         costMs: totalMs / Math.max(0.1, 1 - candidate.errorShare),
         freeSlots,
         deviationMs: deviation * slotMs,
@@ -109,6 +115,7 @@
     const equivalent = best.candidate.isFurther ? further : usual;
     const close = equivalent.filter(each =>
         each.costMs - best.costMs <= CLOSE_DEVIATIONS * Math.hypot(each.deviationMs, best.deviationMs)
+        && each.ownMs <= CLOSE_WORK_FACTOR * best.ownMs
     );
     const draws = [drawByCapacity(close, random) ?? best, drawByCapacity(close, random) ?? best] as const;
     const chosen = draws[1].costMs < draws[0].costMs ? draws[1] : draws[0];
