--- a/packages/gypsumstage-instance/src/InstanceGauges.ts
+++ b/packages/gypsumstage-instance/src/InstanceGauges.ts
@@ -1,3 +1,5 @@
+import type { LoadSummary } from "@gypsumstage/steering/traffic/LoadSummary";
+
 /** Values that are read when the metrics are scraped; an undefined value is left out. */
 export interface InstanceGauges {
     readonly policyVersion: number | undefined;
@@ -16,6 +18,8 @@
     readonly retriesLeft: Readonly<Record<string, number>>;
     /** Requests that wait in this instance, by service; services at which none ever waited are left out. */
     readonly queued: Readonly<Record<string, number>>;
+    /** Loads that the endpoints stated, by service. */
+    readonly endpointLoads: ReadonlyMap<string, LoadSummary>;
     readonly suspectRequests: number;
     /** Number of services to whose endpoints no connection can be opened. */
     readonly cutServices: number;
--- a/packages/gypsumstage-instance/src/__tests__/unit/createTestContext.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createTestContext.ts
@@ -55,6 +55,7 @@
                 isAddressReassigned: false,
                 isEncoded: false,
             }),
+            readLoad: () => undefined,
             readLeaving: (headers: Readonly<Record<string, string>>) => headers["leaving"] !== undefined,
             readPauseMs: (...[, headers]: readonly [number, Readonly<Record<string, string>>]) =>
                 headers["pause"] === undefined ? undefined : Number(headers["pause"]),
@@ -86,6 +87,7 @@
         suspects: createSuspectRequests(() => false, log),
         admission: { isEnabled: () => false, endpointQueueLimit: () => undefined, wake: () => undefined },
         retryBudget: { tryTake: () => true },
+        choosesByStatedLoad: () => false,
         localPrimaryShare: () => 1,
         regionShiftLimiter: { allows: () => true, recordPlacement: () => undefined },
         stopSchedule: createStopSchedule(),
--- a/packages/gypsumstage-instance/src/request/createAttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/createAttemptSet.ts
@@ -3,11 +3,12 @@
 import { holdBackPlacement } from "@gypsumstage/steering/traffic/holdBackPlacement";
 import type { Placement } from "@gypsumstage/steering/traffic/Placement";
 import type { PlacementCandidate } from "@gypsumstage/steering/traffic/PlacementCandidate";
-import { placeRequest } from "@gypsumstage/steering/traffic/placeRequest";
+import { startsAtOnce } from "@gypsumstage/steering/traffic/startsAtOnce";
 import { toAdmissionRequest } from "../admission/toAdmissionRequest.js";
 import type { AttemptSet } from "./AttemptSet.js";
 import type { AttemptStart } from "./AttemptStart.js";
 import type { CallerRequest } from "./CallerRequest.js";
+import { choosePlacement } from "./choosePlacement.js";
 import { createRoomCheck } from "./createRoomCheck.js";
 import { isStarted } from "./isStarted.js";
 import { listPlacementCandidates } from "./listPlacementCandidates.js";
@@ -20,8 +21,6 @@
 const MAX_PERMITS = 3;
 const MIN_RETRY_AFTER_MS = 100;
 
-const hasFreeSlot = (candidate: PlacementCandidate): boolean => candidate.inFlight < candidate.slots;
-
 /**
  * Creates the empty set of attempts of one request. Each attempt goes to another endpoint. Endpoints in
  * regions that the shift limiter does not allow at the moment are chosen only if no allowed one can take the
@@ -53,6 +52,8 @@
     let unsent = 0;
     let mayHaveRun = false;
     let isAborted = false;
+    const listCandidates = (): readonly PlacementCandidate[] =>
+        listPlacementCandidates(ctx, route, service, key, req.objectKey !== undefined, tried);
     const addTrace = (placement: Placement, candidates: readonly PlacementCandidate[]): void => {
         const candidate = placement.kind === "placed"
             ? candidates.find(each => each.id === placement.id)
@@ -67,18 +68,23 @@
                 isWarm: candidate.isWarm,
                 slowness: Number(candidate.slowness.toFixed(2)),
             });
+            if ("isFurther" in candidate) {
+                ctx.metrics.countPlacement(service, candidate.isFurther ? "further" : "usual");
+            }
         }
     };
-    const choosePlacement = (candidates: readonly PlacementCandidate[]): Placement => {
+    const chooseAllowed = (candidates: readonly PlacementCandidate[]): Placement => {
         const typicalMs = ctx.tracker.typicalMs(service, route.targetLatencyMs);
         const remainingMs = deadlineAtMs - monotonicNow();
-        const allowed = candidates.filter(candidate => ctx.regionShiftLimiter.allows(candidate.region));
-        const placement = placeRequest(allowed, typicalMs, remainingMs);
-        return placement.kind === "placed" ? placement : placeRequest(candidates, typicalMs, remainingMs);
+        const regions = new Set(candidates.map(candidate => candidate.region));
+        const allowedRegions = new Set([...regions].filter(ctx.regionShiftLimiter.allows));
+        const allowed = candidates.filter(candidate => allowedRegions.has(candidate.region));
+        const placement = choosePlacement(allowed, typicalMs, remainingMs);
+        return placement.kind === "placed" ? placement : choosePlacement(candidates, typicalMs, remainingMs);
     };
     const chooseFirst = (candidates: readonly PlacementCandidate[]): Placement =>
         holdBackPlacement(
-            choosePlacement(candidates),
+            chooseAllowed(candidates),
             candidates,
             ctx.admission.endpointQueueLimit(service, admissionRequest),
         );
@@ -143,8 +149,8 @@
     };
     const startNextPlaced = async (): Promise<AttemptStart> => {
         for (let permits = 0; permits < MAX_PERMITS; permits++) {
-            const candidates = listPlacementCandidates(ctx, route, service, key, tried);
-            const placement = tried.size === 0 ? chooseFirst(candidates) : choosePlacement(candidates);
+            const candidates = listCandidates();
+            const placement = tried.size === 0 ? chooseFirst(candidates) : chooseAllowed(candidates);
             if (placement.kind !== "placed") {
                 roomCheck.record(candidates);
                 return placement.kind === "no-endpoint" ? explainNoEndpoint() : placement;
@@ -193,12 +199,12 @@
                 );
                 return;
             }
-            const free = listPlacementCandidates(ctx, route, service, key, tried)
-                .filter(hasFreeSlot)
+            const free = listCandidates()
+                .filter(startsAtOnce)
                 .filter(needsNoPermit);
             const isSuspect = ctx.suspects.isSuspect(req.fingerprint);
             if (free.length > 0 && !isSuspect && ctx.retryBudget.tryTake(service)) {
-                start(choosePlacement(free), free);
+                start(chooseAllowed(free), free);
             }
         },
         running: () => [...running.values()].map(attempt => attempt.finished),
--- a/packages/gypsumstage-instance/src/request/createRequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestContext.ts
@@ -1,6 +1,9 @@
 import type { Log } from "@gypsumstage/shared/Log";
+import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
+import { computeSideLoads } from "@gypsumstage/steering/traffic/computeSideLoads";
 import type { FleetView } from "@gypsumstage/steering/traffic/FleetView";
 import type { PeerReport } from "@gypsumstage/steering/traffic/PeerReport";
+import type { SideLoads } from "@gypsumstage/steering/traffic/SideLoads";
 import { createAdmission } from "../admission/createAdmission.js";
 import type { Coordination } from "../Coordination.js";
 import type { HeaderCodec } from "../HeaderCodec.js";
@@ -13,6 +16,7 @@
 import { createColdRateLimiter } from "../upstream/createColdRateLimiter.js";
 import type { Upstreams } from "../upstream/Upstreams.js";
 import { createBodyMemory } from "./createBodyMemory.js";
+import { createLoadSourceChoice } from "./createLoadSourceChoice.js";
 import { createLocalPrimaryShares } from "./createLocalPrimaryShares.js";
 import { createServiceChooser } from "./createServiceChooser.js";
 import type { RegionShiftLimiter } from "./RegionShiftLimiter.js";
@@ -53,6 +57,17 @@
             ?.targetLatencyMs ?? DEFAULT_TARGET_MS;
     const listLocalReports = (): readonly PeerReport[] =>
         peers.reporting().map(peer => peer.report).filter(report => report.dataCentre === cfg.dataCentre);
+    const { loads } = upstreams.tracker;
+    const choosesByStatedLoad = createLoadSourceChoice(peers, loads);
+    const getSideLoads = (service: string): SideLoads | undefined =>
+        choosesByStatedLoad()
+            ? computeSideLoads(
+                view().endpointsByService.get(service) ?? [],
+                cfg.region,
+                loads.figure,
+                monotonicNow(),
+            )
+            : undefined;
     return {
         region: cfg.region,
         headerCodec,
@@ -89,11 +104,12 @@
             log,
         }),
         retryBudget,
+        choosesByStatedLoad,
         localPrimaryShare: createLocalPrimaryShares(cfg.region, view, () => [
             { region: cfg.region, demand: retryBudget.demand() },
             ...listLocalReports(),
             ...peers.summaries(),
-        ]),
+        ], getSideLoads),
         bodyMemory: createBodyMemory(cfg.memoryBytes),
         regionShiftLimiter: parts.regionShiftLimiter,
         stopSchedule: parts.stopSchedule,
--- a/packages/gypsumstage-instance/src/request/createRoomCheck.ts
+++ b/packages/gypsumstage-instance/src/request/createRoomCheck.ts
@@ -26,21 +26,28 @@
 ): RoomCheck => {
     let full: readonly PlacementCandidate[] = [];
     let recordedAtMs = -Infinity;
-    const inFlight = (id: string): number => ctx.tracker.inFlightAt(id) + ctx.peers.inFlight(id);
+    let observed: readonly number[] = [];
+    const observe = (candidates: readonly PlacementCandidate[]): readonly number[] =>
+        candidates.map(({ id }) => ctx.tracker.inFlightAt(id) + ctx.peers.inFlight(id));
     return {
         record: candidates => {
             full = candidates;
+            observed = observe(candidates);
             recordedAtMs = monotonicNow();
         },
         mayHaveRoom: () => {
             if (monotonicNow() - recordedAtMs > MAX_CHECK_AGE_MS) {
                 return true;
             }
-            const before = full;
-            full = before.map(each => ({ ...each, inFlight: inFlight(each.id) }));
-            const hasFallen = full.some((each, index) =>
-                each.inFlight < (before[index]?.inFlight ?? Infinity)
-            );
+            const before = observed;
+            observed = observe(full);
+            // The load of a candidate may be an estimate, so only its change since then is applied.
+            const changes = observed.map((inFlight, index) => inFlight - (before[index] ?? inFlight));
+            full = full.map((each, index) => ({
+                ...each,
+                inFlight: Math.max(0, each.inFlight + (changes[index] ?? 0)),
+            }));
+            const hasFallen = changes.some(change => change < 0);
             return hasFallen && place(full).kind === "placed";
         },
     };
--- a/packages/gypsumstage-instance/src/request/startAttempt.ts
+++ b/packages/gypsumstage-instance/src/request/startAttempt.ts
@@ -84,7 +84,9 @@
         }
         else if (outcome.kind === "answered") {
             const isGood = classification.kind === "final" && !classification.isError;
-            const typicalMs = tracker.typicalMs(endpoint.service, targetLatencyMs);
+            const typicalMs = ctx.choosesByStatedLoad()
+                ? tracker.workTimes.typicalMs(endpoint.service, targetLatencyMs)
+                : tracker.typicalMs(endpoint.service, targetLatencyMs);
             tracker.recordHealthEvent(endpoint.id, {
                 kind: "answered",
                 nowMs,
@@ -94,14 +96,21 @@
             if (isGood) {
                 tracker.recordLatency(endpoint.service, nowMs - startedAtMs);
             }
+            if (isGood && ctx.headerCodec.readLoad(outcome.headers)?.waiting === 0) {
+                tracker.workTimes.record(endpoint.service, targetLatencyMs, nowMs - startedAtMs);
+            }
         }
     };
-    /** Records whether the endpoint says that it is leaving, or that it wants no requests for some time. */
+    /** Records the load that the endpoint states, whether it says that it is leaving, and whether it wants no requests for some time. */
     const recordAnnouncements = (outcome: AttemptOutcome, classification: AttemptClassification): void => {
         const isReassigned = classification.kind === "not-run" && classification.reason === "other-endpoint";
         if (outcome.kind !== "answered" || isReassigned) {
             return;
         }
+        const load = ctx.headerCodec.readLoad(outcome.headers);
+        if (load !== undefined) {
+            tracker.loads.observe(endpoint.id, load);
+        }
         if (ctx.headerCodec.readLeaving(outcome.headers)) {
             ctx.departures.observe(endpoint);
         }
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -33,6 +33,7 @@
 import { createUpstreamConnector } from "./upstream/createUpstreamConnector.js";
 import { registerHealthChecks } from "./upstream/registerHealthChecks.js";
 import { startUpstreams } from "./upstream/startUpstreams.js";
+import { summarizeEndpointLoads } from "./upstream/summarizeEndpointLoads.js";
 
 /** Time-out of a fetch from another instance: a few round trips between regions; then another instance is asked. */
 const RPC_TIMEOUT_MS = 500;
@@ -95,6 +96,10 @@
         () => cfg.maxRegionShift,
         () => peers.reporting().map(peer => peer.report).filter(report => report.region === cfg.region),
     );
+    const listLoads = (): Pick<PeerReport, "loads"> => {
+        const loads = tracker.loads.listRecent();
+        return loads === undefined ? {} : { loads };
+    };
     const createReport = (peerAddresses: readonly string[]): PeerReport => ({
         name: cfg.name,
         dataCentre: cfg.dataCentre,
@@ -109,6 +114,7 @@
         topics: fleet.topicVersions(),
         storeAgeMs: storeAgeMs(),
         inFlight: tracker.inFlight(),
+        ...listLoads(),
         demand: retryBudget.demand(),
         placed: regionShiftLimiter.placed(),
         peers: peerAddresses,
@@ -125,6 +131,7 @@
         retriesLeft: retryBudget.remaining(),
         queued: ctx.admission.lengths(),
         cutServices: reach.cutServices().length,
+        endpointLoads: summarizeEndpointLoads(fleet.view(), tracker.loads),
         suspectRequests: coordination.suspects.size(),
     }));
     const peers = await startPeerExchange(cfg.seeds, createReport, rpc, metrics, log);
