--- a/packages/gypsumstage-instance/src/__tests__/unit/createKeyModel.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createKeyModel.ts
@@ -141,8 +141,7 @@
             isReader: () => readers.includes(index),
             now: () => ({
                 monotonicMs: readClock(),
-                bootMs: nowMs + (faults.frozenMs ?? 0),
-                wallMs: nowMs - 3_600_000 * (index % 2),
+                wallMs: nowMs + (faults.frozenMs ?? 0) - 3_600_000 * (index % 2),
             }),
             metrics: { countConfirmation: () => undefined },
             log: () => undefined,
--- a/packages/gypsumstage-instance/src/keys/readTime.ts
+++ b/packages/gypsumstage-instance/src/keys/readTime.ts
@@ -1,16 +1,10 @@
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import type { TimeReading } from "@gypsumstage/steering/traffic/TimeReading";
-import { uptime } from "node:os";
-
-const MS_PER_SECOND = 1_000;
 
 /**
- * Reads the clocks of this machine. The time since its start is that of CLOCK_BOOTTIME, which also counts while it is suspended.
+ * Reads the clocks of this machine. The machine's uptime is not among them: where processes are isolated, it may be that of
+ * another host, with another rate.
  *
  * @returns the reading
  */
-export const readTime = (): TimeReading => ({
-    monotonicMs: monotonicNow(),
-    bootMs: uptime() * MS_PER_SECOND,
-    wallMs: Date.now(),
-});
+export const readTime = (): TimeReading => ({ monotonicMs: monotonicNow(), wallMs: Date.now() });
--- a/packages/gypsumstage-steering/src/traffic/TimeReading.ts
+++ b/packages/gypsumstage-steering/src/traffic/TimeReading.ts
@@ -1,9 +1,7 @@
-/** The clocks of a machine at one moment, in milliseconds. Any of them may stand still while a process is frozen. */
+/** The clocks of a machine at one moment, in milliseconds. */
 export interface TimeReading {
-    /** Monotonic clock of the process. */
+    /** Monotonic clock of the process, which may stand still while the machine is suspended. */
     readonly monotonicMs: number;
-    /** Time since the machine was started, suspensions included. */
-    readonly bootMs: number;
-    /** Time of day, which may jump. */
+    /** Time of day, which goes on during a suspension but may be set. */
     readonly wallMs: number;
 }
--- a/packages/gypsumstage-steering/src/traffic/computeElapsedMs.ts
+++ b/packages/gypsumstage-steering/src/traffic/computeElapsedMs.ts
@@ -1,7 +1,7 @@
 import type { TimeReading } from "./TimeReading.js";
 
 /**
- * Computes the time between two readings of the clocks: the longest that any of them shows, so that time in which the process or
+ * Computes the time between two readings of the clocks: the longer that one of them shows, so that time in which the process or
  * its machine was frozen counts. A time of day that jumps forward makes it longer, never shorter.
  *
  * @param from - the earlier reading
@@ -9,4 +9,4 @@
  * @returns the elapsed time, in milliseconds
  */
 export const computeElapsedMs = (from: TimeReading, to: TimeReading): number =>
-    Math.max(0, to.monotonicMs - from.monotonicMs, to.bootMs - from.bootMs, to.wallMs - from.wallMs);
+    Math.max(0, to.monotonicMs - from.monotonicMs, to.wallMs - from.wallMs);
