--- a/packages/gypsumstage-instance/src/__tests__/unit/keyConfirmation.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/keyConfirmation.test.ts
@@ -24,6 +24,19 @@
     return lastMs;
 };
 
+test("whenever the store is lost, keys are served for 0.6 of the bound", async () => {
+    const model = await createKeyModel(SIZE, REVOKE_MS, ["a"]);
+    for (let round = 0; round < 10; round++) {
+        await model.runFor(3_000 + 170 * round);
+        model.instances.forEach(each => each.faults.store = true);
+        await model.runFor(NEEDED_WITHOUT_STORE_MS);
+        const verdicts = model.instances.map(each => each.keys.trust.judge({ isPublic: false }, "a", 0).kind);
+        assert.deepEqual(new Set(verdicts), new Set(["workspace"]));
+        model.instances.forEach(each => each.faults.store = false);
+    }
+    model.stop();
+});
+
 test("without the store, keys are served for 0.6 of the bound, a revoked one no longer than it, and public routes all the time", async () => {
     const model = await createKeyModel(SIZE, REVOKE_MS, ["a", "b"]);
     model.instances.forEach(each => each.faults.store = true);
--- a/packages/gypsumstage-instance/src/keys/startKeyConfirmation.ts
+++ b/packages/gypsumstage-instance/src/keys/startKeyConfirmation.ts
@@ -86,16 +86,13 @@
     const waitShortly = (confirmed: Promise<boolean>): Promise<boolean | undefined> =>
         Promise.race([confirmed, waitMs(ASK_NEXT_AFTER_MS)]);
     const getAge = (): number => record.ageMs(now()) ?? Number.POSITIVE_INFINITY;
-    /** Asks instances one after the other; the reply of one that is slow still counts. */
+    /** Asks instances one after the other until `isDone` holds; the reply of one that is slow still counts. */
     const askOthers = async (isReadWanted: boolean, isDone: () => boolean): Promise<void> => {
         const failedUntilMs = isReadWanted ? failedReadsUntilMs : failedAnswersUntilMs;
         const live = peers.live().filter(({ report }) => !isReadWanted || report.storeAgeMs !== undefined);
         const sound = live.filter(({ report }) => (failedUntilMs.get(report.name) ?? 0) <= monotonicNow());
         const candidates = sound.length > 0 ? sound : live;
         for (const { report: { name, internalAddress } } of listConfirmers(cfg(), candidates, Math.random)) {
-            if (isDone()) {
-                return;
-            }
             const isConfirmed = await waitShortly(source.ask(internalAddress, isReadWanted));
             if (isConfirmed && (!isReadWanted || isDone())) {
                 failedUntilMs.delete(name);
@@ -103,6 +100,9 @@
             else {
                 failedUntilMs.set(name, monotonicNow() + FAILED_PEER_PAUSE_MS);
             }
+            if (isDone()) {
+                return;
+            }
         }
     };
     const runRound = async (): Promise<boolean> => {
@@ -111,7 +111,9 @@
         if (isReader()) {
             await waitShortly(source.readStore());
         }
-        await askOthers(true, isDone);
+        if (!isDone()) {
+            await askOthers(true, isDone);
+        }
         if (!isReader() && !isDone()) {
             await waitShortly(readStoreRarely());
         }
