Count the slot time that work on cold data takes from others

Beyond capacity, candidates with cold data were chosen as soon as the wait at the warm one was longer, and work on cold data holds a slot 3.3 times as long, so that less work was done on warm data and more requests were late.

The cost of cold data grows with the requests per slot of the candidates.

--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/placeByEstimate.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/placeByEstimate.test.ts
@@ -129,6 +129,16 @@
     }
 });
 
+test("full endpoints: a queue that work on cold data would avoid while others idle is kept, as cold work holds slots for longer", () => {
+    const primary = candidate("primary", { inFlight: 10, queueWorkMs: 1_200 });
+    const second = candidate("second", { isWarm: false });
+    const others = [11, 12].map(inFlight =>
+        candidate(`third ${inFlight}`, { isFurther: true, isWarm: false, inFlight })
+    );
+    assert.deepEqual(countChoices([primary, second]), { second: 1_000 });
+    assert.deepEqual(countChoices([primary, { ...second, inFlight: 2 }, ...others]), { primary: 1_000 });
+});
+
 const SIZES = { ageMs: 200, endpoints: 30, slots: 4, load: 0.85 } as const;
 
 for (const choosers of [8, 90, 300]) {
--- a/packages/gypsumstage-steering/src/traffic/placeByEstimate.ts
+++ b/packages/gypsumstage-steering/src/traffic/placeByEstimate.ts
@@ -3,11 +3,14 @@
 import type { Placement } from "./Placement.js";
 
 /**
- * Cost of a request on cold data relative to one on warm data. On the object's primary side it is lower, as the data remain
- * useful there; at further endpoints it includes the cost of the data that it evicts.
+ * Cost of a request on cold data beyond that on warm data, relative to the latter, where the candidates have as many requests
+ * as slots. It takes 2.3 times longer, and the time that it holds a slot is taken from others, the more the fuller the endpoints are. At
+ * further endpoints it also evicts the data of other objects.
  */
-const COLD_PRIMARY_SIDE_COST_FACTOR = 2;
-const COLD_COST_FACTOR = 5;
+const COLD_PRIMARY_SIDE_COST = 3;
+const COLD_COST = 6;
+/** Share of the above that remains on idle endpoints. */
+const IDLE_COLD_COST_SHARE = 1 / 3;
 /** Requests per slot that an endpoint may have in flight, queued ones included, on warm and on cold data. */
 const MAX_WARM_QUEUE_FACTOR = 3;
 const MAX_COLD_QUEUE_FACTOR = 1;
@@ -36,21 +39,20 @@
     readonly deviationMs: number;
 }
 
-const costFactor = (candidate: EstimatedCandidate): number => {
+const costFactor = (candidate: EstimatedCandidate, loadPerSlot: number): number => {
     if (candidate.isWarm) {
         return 1;
     }
-    return candidate.isOnPrimarySide && !candidate.isFurther
-        ? COLD_PRIMARY_SIDE_COST_FACTOR
-        : COLD_COST_FACTOR;
+    const cost = candidate.isOnPrimarySide && !candidate.isFurther ? COLD_PRIMARY_SIDE_COST : COLD_COST;
+    return 1 + cost * (IDLE_COLD_COST_SHARE + (1 - IDLE_COLD_COST_SHARE) * loadPerSlot);
 };
 
-const rate = (candidate: EstimatedCandidate): RatedCandidate => {
+const rate = (candidate: EstimatedCandidate, loadPerSlot: number): RatedCandidate => {
     const { inFlight, deviation, slots, slowness, workMs, queueWorkMs } = candidate;
     const slotMs = queueWorkMs * slowness / slots;
     const waitMs = expectExcess(inFlight + 1 - slots, deviation) * slotMs;
     const freeSlots = expectExcess(slots - inFlight, deviation);
-    const ownMs = workMs * slowness * costFactor(candidate);
+    const ownMs = workMs * slowness * costFactor(candidate, loadPerSlot);
     const totalMs = waitMs + ownMs + candidate.roundTripMs;
     return {
         candidate,
@@ -100,7 +102,9 @@
     if (candidates.length === 0) {
         return { kind: "no-endpoint" };
     }
-    const rated = candidates.map(rate);
+    const loadPerSlot = candidates.reduce((sum, each) => sum + each.inFlight / each.slots, 0)
+        / candidates.length;
+    const rated = candidates.map(candidate => rate(candidate, loadPerSlot));
     const open = rated.filter(each => hasQueueSpace(each) && each.waitMs < remainingMs);
     const usual = open.filter(each => !each.candidate.isFurther);
     const further = open.filter(each => each.candidate.isFurther).slice(0, FURTHER_CHOICES);
