--- a/packages/gypsumstage-instance/src/__tests__/unit/createEndpointLoads.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createEndpointLoads.test.ts
@@ -40,3 +40,11 @@
         }, createEndpointLoads(() => 0))();
     assert.deepEqual([chooseAmong(117, 19), chooseAmong(7, 7)], [true, false]);
 });
+
+test("when all reports are lost, an instance of a large fleet goes on with the loads that it observes itself", () => {
+    const loads = createEndpointLoads(() => 0);
+    loads.observe("e-1", load);
+    const peers = { live: () => Array.from({ length: 117 }, () => ({}) as never), reporting: () => [] };
+    assert.equal(createLoadSourceChoice(peers, loads)(), true);
+    assert.deepEqual([loads.size(), Object.keys(loads.listRecent() ?? {})], [1, ["e-1"]]);
+});
