Keep requests of a full region within the allowed shift

Where no allowed region can take a request, candidates in the others are used in spite of the shift limit.

That exception now holds for usual candidates only, as before stated loads were used. Ruled out: no exception at all, as it changes small fleets.

--- a/packages/gypsumstage-instance/src/__tests__/unit/listEstimatedCandidates.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/listEstimatedCandidates.test.ts
@@ -69,3 +69,18 @@
     assert.ok(sentTo.every(id => Number(id.slice(2)) >= 8), sentTo.join());
     assert.ok(new Set(sentTo).size > 3, sentTo.join());
 });
+
+test("a full region gives requests without an object to another one, but not beyond the allowed shift", async () => {
+    for (const isShiftAllowed of [true, false]) {
+        const { ctx, req, route, sentTo } = createContext();
+        endpoints.forEach(({ id, region }) =>
+            ctx.tracker.loads.observe(id, region === "kutch" ? FULL : FREE)
+        );
+        const allows = (region: string): boolean => region === "kutch" || isShiftAllowed;
+        const limited = { ...ctx, regionShiftLimiter: { ...ctx.regionShiftLimiter, allows } };
+        const keyless = { ...req, objectKey: undefined };
+        const started = await createAttemptSet(limited, keyless, route, "desk", "1", Infinity).startNext();
+        assert.equal(started.kind, isShiftAllowed ? "placed" : "no-room");
+        assert.equal(sentTo.length, isShiftAllowed ? 1 : 0);
+    }
+});
--- a/packages/gypsumstage-instance/src/request/createAttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/createAttemptSet.ts
@@ -20,8 +20,9 @@
 /**
  * Creates the empty set of attempts of one request. Each attempt goes to another endpoint. Endpoints in
  * regions that the shift limiter does not allow at the moment are chosen only if no allowed one can take the
- * request. A request to a rate-limited endpoint needs a permit; while it is denied, other endpoints get the request. While
- * this instance is cut off from the service, another instance that reaches it gets the request.
+ * request, and further candidates there not at all. A request to a rate-limited endpoint needs a permit; while it
+ * is denied, other endpoints get the request. While this instance is cut off from the service, another instance
+ * that reaches it gets the request.
  *
  * @param ctx - provides the view, the typical latencies, the permits, the shift limiter and the retry budget
  * @param req - the caller's request
@@ -75,7 +76,10 @@
         const allowedRegions = new Set([...regions].filter(ctx.regionShiftLimiter.allows));
         const allowed = candidates.filter(candidate => allowedRegions.has(candidate.region));
         const placement = choosePlacement(allowed, typicalMs, remainingMs);
-        return placement.kind === "placed" ? placement : choosePlacement(candidates, typicalMs, remainingMs);
+        const usual = candidates.filter(candidate =>
+            allowedRegions.has(candidate.region) || !("isFurther" in candidate && candidate.isFurther)
+        );
+        return placement.kind === "placed" ? placement : choosePlacement(usual, typicalMs, remainingMs);
     };
     /** Sends the request and returns true, unless the endpoint wants none any more. */
     const start = (placement: Placement, candidates: readonly PlacementCandidate[]): boolean => {
