Bound the memory of responses until callers have taken them

Cause: responses were counted while they were received only; what a slow caller had not read had no bound. Idle connections kept the handler of their last response, and with it the whole body, for 4 s. Change: one memory of 64 MiB covers responses being received and being written; when it is short, large ones wait unread at their endpoints and callers that take nothing for 3 s are reset. The handler and the collector let go of a response that is done. Ruled out: garbage alone (128 MB stayed after forced collections); passing pieces on (docs/design/large-responses.md).

--- a/packages/gypsumstage-instance/src/InstanceGauges.ts
+++ b/packages/gypsumstage-instance/src/InstanceGauges.ts
@@ -10,6 +10,10 @@
     readonly copyAgeMs: number | undefined;
     /** Retries and hedges that the budget still allows, by service. */
     readonly retriesLeft: Readonly<Record<string, number>>;
+    /** Memory that responses take, from their first byte until their callers' connections have taken them. */
+    readonly responseBytes: number;
+    /** Callers that were cut off, as they read nothing while the memory for responses was short. */
+    readonly cutCallers: number;
     readonly suspectRequests: number;
     /** Number of services to whose endpoints no connection can be opened. */
     readonly cutServices: number;
--- a/packages/gypsumstage-instance/src/createInstanceMetrics.ts
+++ b/packages/gypsumstage-instance/src/createInstanceMetrics.ts
@@ -22,6 +22,8 @@
                 live_peers: gauges.livePeers,
                 in_flight: gauges.inFlight,
                 cut_services: gauges.cutServices,
+                response_bytes: gauges.responseBytes,
+                cut_callers: gauges.cutCallers,
                 suspect_requests: gauges.suspectRequests,
                 store_age_seconds: toSeconds(gauges.storeAgeMs),
                 copy_age_seconds: toSeconds(gauges.copyAgeMs),
--- a/packages/gypsumstage-instance/src/request/RequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/RequestContext.ts
@@ -12,6 +12,7 @@
 import type { EndpointRateLimits } from "../upstream/EndpointRateLimits.js";
 import type { EndpointTracker } from "../upstream/EndpointTracker.js";
 import type { LeavingEndpoints } from "../upstream/LeavingEndpoints.js";
+import type { ResponseMemory } from "../upstream/ResponseMemory.js";
 import type { UpstreamPool } from "../upstream/UpstreamPool.js";
 import type { BodyMemory } from "./BodyMemory.js";
 import type { LocalPrimaryShares } from "./LocalPrimaryShares.js";
@@ -37,6 +38,7 @@
     readonly suspects: SuspectRequests;
     readonly retryBudget: RetryBudget;
     readonly bodyMemory: BodyMemory;
+    readonly responseMemory: Pick<ResponseMemory, "hold">;
     readonly chooseService: ServiceChooser;
     readonly localPrimaryShare: LocalPrimaryShares;
     readonly regionShiftLimiter: RegionShiftLimiter;
--- a/packages/gypsumstage-instance/src/request/createRequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestContext.ts
@@ -77,6 +77,7 @@
             ...listLocalReports(),
             ...peers.summaries(),
         ]),
+        responseMemory: upstreams.responseMemory,
         bodyMemory: createBodyMemory(cfg.memoryBytes),
         regionShiftLimiter: parts.regionShiftLimiter,
         stopSchedule: parts.stopSchedule,
--- a/packages/gypsumstage-instance/src/request/createRequestHandler.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestHandler.ts
@@ -162,10 +162,10 @@
             const isUnread = !req.complete || headFault !== undefined;
             const isClosing = phase() !== "serving" || isUnread;
             if (sender === "caller") {
-                writeReply(res, reply, isClosing);
+                writeReply(res, reply, ctx.responseMemory, isClosing);
             }
             else {
-                writeReply(res, toFramedReply(reply), isClosing, toRelayHeaders(reply));
+                writeReply(res, toFramedReply(reply), ctx.responseMemory, isClosing, toRelayHeaders(reply));
             }
         }
     };
@@ -181,7 +181,7 @@
             req.socket.destroy();
         }
         else {
-            writeReply(res, INTERNAL_ERROR_REPLY, true);
+            writeReply(res, INTERNAL_ERROR_REPLY, ctx.responseMemory, true);
         }
     };
     return async (req, res) => {
--- a/packages/gypsumstage-instance/src/request/writeReply.ts
+++ b/packages/gypsumstage-instance/src/request/writeReply.ts
@@ -1,7 +1,9 @@
 import { dropHopByHopHeaders } from "@gypsumstage/shared/dropHopByHopHeaders";
 import { hasNoBody } from "@gypsumstage/shared/hasNoBody";
 import type { OutgoingHttpHeaders, ServerResponse } from "node:http";
+import type { ResponseMemory } from "../upstream/ResponseMemory.js";
 import type { Reply } from "./Reply.js";
+import { sendBody } from "./sendBody.js";
 
 const STATUS_REFUSED = 503;
 const STATUS_FAILED = 502;
@@ -37,12 +39,14 @@
  *
  * @param res - the response, to which nothing has been written yet
  * @param reply - the reply; for `abandoned` the connection is destroyed
+ * @param memory - memory that all responses share
  * @param isClosing - true when the connection is to be closed after this reply
  * @param extraHeaders - header fields that are added to the reply
  */
 export const writeReply = (
     res: ServerResponse,
     reply: Reply,
+    memory: Pick<ResponseMemory, "hold">,
     isClosing: boolean,
     extraHeaders: OutgoingHttpHeaders = {},
 ): void => {
@@ -57,7 +61,12 @@
                 headers["content-length"] = reply.body.length;
             }
             res.writeHead(reply.status, { ...headers, ...added });
-            res.end(hasNoBody(res.req.method, reply.status) ? undefined : reply.body);
+            if (hasNoBody(res.req.method, reply.status)) {
+                res.end();
+            }
+            else {
+                sendBody(res, reply.body, memory);
+            }
             return;
         }
         case "refused": {
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -116,6 +116,8 @@
         copyAgeMs: copyAgeMs(),
         retriesLeft: retryBudget.remaining(),
         cutServices: reach.cutServices().length,
+        responseBytes: upstreams.responseMemory.usedBytes(),
+        cutCallers: upstreams.responseMemory.cutCallers(),
         suspectRequests: coordination.suspects.size(),
     }));
     const peers = await startPeerExchange(cfg.seeds, createReport, rpc, metrics, log);
--- a/packages/gypsumstage-instance/src/upstream/createResponseCollector.ts
+++ b/packages/gypsumstage-instance/src/upstream/createResponseCollector.ts
@@ -1,6 +1,7 @@
 import { hasNoBody } from "@gypsumstage/shared/hasNoBody";
 import type { IncomingHttpHeaders } from "node:http";
 import type { ResponseCollector } from "./ResponseCollector.js";
+import type { ResponseFlow } from "./ResponseFlow.js";
 import type { ResponseMemory } from "./ResponseMemory.js";
 import type { UpstreamConnection } from "./UpstreamConnection.js";
 
@@ -29,18 +30,20 @@
  * @param connection - the connection on which the response arrives
  * @param memory - memory that the responses being received share
  * @param onLimitExceeded - called with the reason when the response exceeds a limit; may be called more than once
+ * @param flow - pauses and resumes the reading of the response
  * @returns the collector, with nothing collected
  */
 export const createResponseCollector = (
     connection: UpstreamConnection,
     memory: ResponseMemory,
     onLimitExceeded: (reason: string) => void,
+    flow: ResponseFlow,
 ): ResponseCollector => {
     let status = 0;
     let headers: IncomingHttpHeaders = {};
     let bodyBytes = 0;
     const pieces: Buffer[] = [];
-    const reservation = memory.open(() => onLimitExceeded("no memory left for the response"));
+    const reservation = memory.open(() => onLimitExceeded("no memory left for the response"), flow);
     const receivedBefore = connection.receivedBytes();
     connection.setReceiveListener(() => {
         const receivedBytes = connection.receivedBytes() - receivedBefore;
@@ -74,6 +77,8 @@
         }),
         close: () => {
             connection.setReceiveListener(() => undefined);
+            pieces.length = 0;
+            headers = {};
             reservation.close();
         },
     };
--- a/packages/gypsumstage-instance/src/upstream/sendRequest.ts
+++ b/packages/gypsumstage-instance/src/upstream/sendRequest.ts
@@ -32,8 +32,15 @@
         settle({ kind: "broken", reason });
         controller?.abort(new Error(reason));
     };
-    const collector = createResponseCollector(connection, memory, breakOff);
-    void outcome.then(collector.close);
+    const collector = createResponseCollector(connection, memory, breakOff, {
+        pause: () => controller?.pause(),
+        resume: () => controller?.resume(),
+    });
+    void outcome.then(() => {
+        collector.close();
+        // An idle connection keeps the handler of its last response, which must not keep that response.
+        settle = () => undefined;
+    });
     const abort = (): void => {
         isAborted = true;
         settle({ kind: "aborted", wasSent: controller !== undefined });
--- a/packages/gypsumstage-instance/src/upstream/startUpstreams.ts
+++ b/packages/gypsumstage-instance/src/upstream/startUpstreams.ts
@@ -9,7 +9,7 @@
 import type { UpstreamConnector } from "./UpstreamConnector.js";
 import type { Upstreams } from "./Upstreams.js";
 
-/** Limit of all responses being received; leaves room for the process in the smallest instances of 250 MB. */
+/** Limit of all responses being received or written to callers; leaves room for the process in the smallest instances of 250 MB. */
 const RESPONSE_MEMORY_BYTES = 67_108_864;
 
 /**
@@ -18,7 +18,7 @@
  * @param view - returns the current fleet view
  * @param onCutOff - called with each endpoint of a service from which this instance is found to be cut off
  * @param connector - opens the connections to endpoints
- * @param log - receives the beginning and the end of cuts
+ * @param log - receives the beginning and the end of cuts, and callers that are cut off
  * @returns the connections, none of which is open yet
  */
 export const startUpstreams = (
@@ -28,7 +28,9 @@
     log: Log,
 ): Upstreams => {
     const tracker = createEndpointTracker();
-    const memory = createResponseMemory(RESPONSE_MEMORY_BYTES);
+    const memory = createResponseMemory(RESPONSE_MEMORY_BYTES, (bytes, idleMs) => {
+        log("warn", "slow-caller-cut", { bytes, idleMs: Math.round(idleMs) });
+    });
     const pool = createUpstreamPool(connector, memory);
     const relayPool = createUpstreamPool(createUpstreamConnector(), memory);
     const listEndpoints = (service: string): readonly UpstreamEndpoint[] =>
@@ -49,6 +51,7 @@
         tracker,
         pool,
         relayPool,
+        responseMemory: memory,
         reach,
         stop: async () => {
             reach.stop();
