Do not reuse a connection to an endpoint that is being closed

Cause: the client library closes a connection after a response with 'connection: close' or without a length, but tells so one turn of the event loop later. The connection was put back meanwhile, the next request on it failed as not sent, and the endpoint counted as unreachable. Change: a connection is put back only while its socket is open. Ruled out: the pausing of responses (the code of the pool is older).

--- a/packages/gypsumstage-instance/src/__tests__/integration/createUpstreamPool.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/integration/createUpstreamPool.test.ts
@@ -133,3 +133,14 @@
     }
     await pool.close();
 });
+
+test("no request is sent on a connection that its endpoint is closing after the response", async () => {
+    const pool = createUpstreamPool(createUpstreamConnector(), createResponseMemory(RESPONSE_MEMORY_BYTES));
+    for (const framing of ["connection: close\r\n", "connection: close\r\ncontent-length: 2\r\n"]) {
+        const address = await startEndpoint(socket => socket.end(`HTTP/1.1 200 OK\r\n${framing}\r\nok`));
+        for (let sent = 0; sent < 20; sent++) {
+            assert.equal((await pool.send(address, get).outcome).kind, "answered", `${framing} ${sent}`);
+        }
+    }
+    await pool.close();
+});
--- a/packages/gypsumstage-instance/src/upstream/UpstreamConnection.ts
+++ b/packages/gypsumstage-instance/src/upstream/UpstreamConnection.ts
@@ -5,6 +5,8 @@
     readonly client: Client;
     /** Returns whether no response was received yet, and counts the next one. */
     readonly takeIsFirst: () => boolean;
+    /** False before the connection is open and once it is being closed. */
+    readonly isOpen: () => boolean;
     /** True once the connection failed or was reset instead of being closed properly. */
     readonly isBroken: () => boolean;
     /** Bytes received so far, headers and framing included; 0 before the connection is open. */
--- a/packages/gypsumstage-instance/src/upstream/createUpstreamPool.ts
+++ b/packages/gypsumstage-instance/src/upstream/createUpstreamPool.ts
@@ -46,7 +46,7 @@
         return connection;
     };
     const release = (address: string, connection: UpstreamConnection): void => {
-        if (!connection.client.destroyed) {
+        if (!connection.client.destroyed && connection.isOpen()) {
             setIdle(address, [...idle.get(address) ?? [], connection]);
         }
     };
--- a/packages/gypsumstage-instance/src/upstream/openConnection.ts
+++ b/packages/gypsumstage-instance/src/upstream/openConnection.ts
@@ -51,6 +51,7 @@
             isFirst = false;
             return wasFirst;
         },
+        isOpen: () => socket?.destroyed === false,
         isBroken: () => isBroken,
         receivedBytes: () => socket?.bytesRead ?? 0,
         setReceiveListener: next => {
