--- a/packages/gypsumstage-instance/src/InstanceGauges.ts
+++ b/packages/gypsumstage-instance/src/InstanceGauges.ts
@@ -20,6 +20,10 @@
     readonly queued: Readonly<Record<string, number>>;
     /** Loads that the endpoints stated, by service. */
     readonly endpointLoads: ReadonlyMap<string, LoadSummary>;
+    /** Memory that responses take, from their first byte until their callers' connections have taken them. */
+    readonly responseBytes: number;
+    /** Callers that were cut off, as they read nothing while the memory for responses was short. */
+    readonly cutCallers: number;
     readonly suspectRequests: number;
     /** Number of services to whose endpoints no connection can be opened. */
     readonly cutServices: number;
--- a/packages/gypsumstage-instance/src/request/RequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/RequestContext.ts
@@ -14,6 +14,7 @@
 import type { EndpointRateLimits } from "../upstream/EndpointRateLimits.js";
 import type { EndpointTracker } from "../upstream/EndpointTracker.js";
 import type { LeavingEndpoints } from "../upstream/LeavingEndpoints.js";
+import type { ResponseMemory } from "../upstream/ResponseMemory.js";
 import type { UpstreamPool } from "../upstream/UpstreamPool.js";
 import type { BodyMemory } from "./BodyMemory.js";
 import type { LoadSourceChoice } from "./LoadSourceChoice.js";
@@ -42,6 +43,7 @@
     readonly admission: Admission;
     readonly retryBudget: RetryBudget;
     readonly bodyMemory: BodyMemory;
+    readonly responseMemory: Pick<ResponseMemory, "hold">;
     readonly chooseService: ServiceChooser;
     readonly choosesByStatedLoad: LoadSourceChoice;
     readonly localPrimaryShare: LocalPrimaryShares;
--- a/packages/gypsumstage-instance/src/request/createRequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestContext.ts
@@ -110,6 +110,7 @@
             ...listLocalReports(),
             ...peers.summaries(),
         ], getSideLoads),
+        responseMemory: upstreams.responseMemory,
         bodyMemory: createBodyMemory(cfg.memoryBytes),
         regionShiftLimiter: parts.regionShiftLimiter,
         stopSchedule: parts.stopSchedule,
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -132,6 +132,8 @@
         queued: ctx.admission.lengths(),
         cutServices: reach.cutServices().length,
         endpointLoads: summarizeEndpointLoads(fleet.view(), tracker.loads),
+        responseBytes: upstreams.responseMemory.usedBytes(),
+        cutCallers: upstreams.responseMemory.cutCallers(),
         suspectRequests: coordination.suspects.size(),
     }));
     const peers = await startPeerExchange(cfg.seeds, createReport, rpc, metrics, log);
