Enforce usage caps of workspaces over all instances

Cause: a workspace's requestsPerSecond and burst were decoded but not enforced. Each attempt now takes a permit before it is sent, and a request without one is refused with 429 and a Retry-After. Instances lend their equal part of all caps to one issuer at a time, which divides each cap among one distributor a data centre and group of workspaces, by demand. Ruled out: an even share of each instance (below one request at 90 instances), and an issuer that takes over after a wait (two issuers during a split).

--- a/packages/gypsumstage-instance/src/Coordination.ts
+++ b/packages/gypsumstage-instance/src/Coordination.ts
@@ -1,6 +1,8 @@
 import type { NoticeExchange } from "./notices/NoticeExchange.js";
 import type { PermitIssuer } from "./permits/PermitIssuer.js";
 import type { RequestPermits } from "./permits/RequestPermits.js";
+import type { QuotaHandlers } from "./quota/QuotaHandlers.js";
+import type { UsageCaps } from "./quota/UsageCaps.js";
 import type { SuspectRequests } from "./suspects/SuspectRequests.js";
 import type { EndpointRateLimits } from "./upstream/EndpointRateLimits.js";
 import type { LeavingEndpoints } from "./upstream/LeavingEndpoints.js";
@@ -12,6 +14,8 @@
     readonly suspects: SuspectRequests;
     readonly permits: RequestPermits;
     readonly permitIssuer: PermitIssuer;
+    readonly usageCaps: UsageCaps;
+    readonly quotaHandlers: QuotaHandlers;
     readonly readNotices: NoticeExchange["readAll"];
     readonly stop: () => Promise<void>;
 }
--- a/packages/gypsumstage-instance/src/InstanceConfig.ts
+++ b/packages/gypsumstage-instance/src/InstanceConfig.ts
@@ -1,3 +1,4 @@
+import type { QuotaBounds } from "@gypsumstage/steering/traffic/QuotaBounds";
 import type { RetryBudgetConfig } from "@gypsumstage/steering/traffic/RetryBudgetConfig";
 
 /** Settings of an instance. Durations are in milliseconds. */
@@ -24,6 +25,8 @@
     readonly retry: RetryBudgetConfig;
     /** Largest share, 0 to 1, of a region's requests that may change region from one window to the next. */
     readonly maxRegionShift: number;
+    /** Bounds of the usage caps of workspaces; absent where none are enforced. */
+    readonly quota?: QuotaBounds;
     /** Memory that the process may take; it is killed beyond that. */
     readonly memoryBytes: number;
     /** Time from the stop signal until the process is killed. */
--- a/packages/gypsumstage-instance/src/InstanceMetrics.ts
+++ b/packages/gypsumstage-instance/src/InstanceMetrics.ts
@@ -12,6 +12,8 @@
     readonly countRateLimitedAttempt: (service: string) => void;
     /** Counts a permit for a request to a rate-limited endpoint. */
     readonly countPermit: (service: string, result: "granted" | "denied") => void;
+    /** Counts a permit for an attempt of a workspace with a usage cap. */
+    readonly countUsage: (result: "granted" | "exceeded") => void;
     /** Counts a request that was passed on to another instance, or by one, and what came of it. */
     readonly countRelay: (direction: "sent" | "received", result: string) => void;
     readonly recordAttempt: (service: string, classification: string, tookMs: number) => void;
--- a/packages/gypsumstage-instance/src/__tests__/unit/createTestContext.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createTestContext.ts
@@ -82,6 +82,7 @@
         departures: createLeavingEndpoints(id => view().endpoints.get(id), tracker, log),
         rateLimits: createEndpointRateLimits(id => view().endpoints.get(id), log),
         permits,
+        usageCaps: { take: () => ({ kind: "granted", refund: () => undefined }) },
         suspects: createSuspectRequests(() => false, log),
         retryBudget: { tryTake: () => true },
         localPrimaryShare: () => 1,
--- a/packages/gypsumstage-instance/src/__tests__/unit/relays.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/relays.test.ts
@@ -16,6 +16,7 @@
 const REPLIES: readonly Reply[] = [
     { kind: "relayed", status: 500, headers: { "response-stamp": "s" }, body: BODY, isEndStated: true },
     { kind: "refused", reason: "no-room", retryAfterMs: 340 },
+    { kind: "refused", reason: "over-cap", retryAfterMs: 1_200, status: 429 },
     { kind: "failed", reason: "deadline", isTimeout: true },
     { kind: "failed", reason: "ECONNRESET: läuft nicht", isTimeout: false },
     { kind: "rejected", reason: "no-route", status: 404 },
@@ -26,6 +27,8 @@
         ? reply.status
         : reply.kind === "failed" && reply.isTimeout
         ? 504
+        : reply.kind === "refused"
+        ? reply.status ?? 503
         : 502;
     const headers = reply.kind === "relayed" ? reply.headers : {};
     return {
--- a/packages/gypsumstage-instance/src/createInstanceMetrics.ts
+++ b/packages/gypsumstage-instance/src/createInstanceMetrics.ts
@@ -102,6 +102,12 @@
         labelNames: ["service", "result"],
         registers: [registry],
     });
+    const usage = new Counter({
+        name: "gypsumstage_quota_total",
+        help: "Permits for attempts of workspaces with a usage cap, by what came of them",
+        labelNames: ["result"],
+        registers: [registry],
+    });
     const relays = new Counter({
         name: "gypsumstage_relays_total",
         help: "Requests passed on to another instance, or by one, and what came of them",
@@ -149,6 +155,7 @@
         recordWait: (service, waitedMs) => waits.observe({ service }, waitedMs / MS_PER_SECOND),
         countRateLimitedAttempt: service => rateLimitedAttempts.inc({ service }),
         countPermit: (service, result) => permits.inc({ service, result }),
+        countUsage: result => usage.inc({ result }),
         countRelay: (direction, result) => relays.inc({ direction, result }),
         recordAttempt: (service, classification, tookMs) =>
             attempts.observe({ service, verdict: classification }, tookMs / MS_PER_SECOND),
--- a/packages/gypsumstage-instance/src/relay/readRelayReply.ts
+++ b/packages/gypsumstage-instance/src/relay/readRelayReply.ts
@@ -2,6 +2,7 @@
 import type { AttemptOutcome } from "../upstream/AttemptOutcome.js";
 import { RELAY_HEADERS } from "./RELAY_HEADERS.js";
 
+const STATUS_OVER_CAP = 429;
 const STATUS_TIMEOUT = 504;
 
 const readText = (value: string | readonly string[] | undefined): string =>
@@ -32,6 +33,7 @@
                 kind: "refused",
                 reason,
                 retryAfterMs: Number(readText(headers[RELAY_HEADERS.retryAfterMs])),
+                ...(status === STATUS_OVER_CAP ? { status } : {}),
             };
         case "failed":
             return { kind: "failed", reason, isTimeout: status === STATUS_TIMEOUT };
--- a/packages/gypsumstage-instance/src/request/AttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/AttemptSet.ts
@@ -11,9 +11,9 @@
     readonly startNext: () => Promise<AttemptStart>;
     /**
      * Does the same for a hedge: only at an endpoint with a free slot and without a rate limit, only within the retry
-     * budget, and not if an endpoint ended while the request was in flight there.
+     * budget and the usage cap, and not if an endpoint ended while the request was in flight there.
      */
-    readonly startHedge: () => void;
+    readonly startHedge: () => Promise<void>;
     /** Promises of the results of the running attempts. */
     readonly running: () => readonly Promise<FinishedAttempt>[];
     /** Removes a finished attempt from the running ones and records its result. */
--- a/packages/gypsumstage-instance/src/request/AttemptStart.ts
+++ b/packages/gypsumstage-instance/src/request/AttemptStart.ts
@@ -7,6 +7,8 @@
     | { readonly kind: "relayed"; readonly instance: string; }
     /** Other endpoints could not take the request, and permits for the rate-limited ones are denied for now. */
     | { readonly kind: "rate-limited"; readonly retryAfterMs: number; }
+    /** The usage cap of the workspace is exhausted. */
+    | { readonly kind: "over-cap"; readonly retryAfterMs: number; }
     /** Endpoints ended while the request was in flight there. */
     | { readonly kind: "ends-endpoints"; readonly retryAfterMs: number; }
     /** The caller left, or the request ended, before the attempt could be sent. */
--- a/packages/gypsumstage-instance/src/request/Reply.ts
+++ b/packages/gypsumstage-instance/src/request/Reply.ts
@@ -12,7 +12,13 @@
         readonly isEndStated: boolean;
     }
     /** The request has not run and will not run: the caller may retry after the given time. */
-    | { readonly kind: "refused"; readonly reason: string; readonly retryAfterMs: number; }
+    | {
+        readonly kind: "refused";
+        readonly reason: string;
+        readonly retryAfterMs: number;
+        /** 429 for a request over the usage cap of its workspace; otherwise 503. */
+        readonly status?: 429;
+    }
     /** The request may have run, or no response arrived in time. */
     | { readonly kind: "failed"; readonly reason: string; readonly isTimeout: boolean; }
     /** The request exceeds a limit or matches no route: a retry fails in the same way. */
--- a/packages/gypsumstage-instance/src/request/RequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/RequestContext.ts
@@ -4,6 +4,7 @@
 import type { InstanceMetrics } from "../InstanceMetrics.js";
 import type { PeerExchange } from "../peers/PeerExchange.js";
 import type { RequestPermits } from "../permits/RequestPermits.js";
+import type { UsageCaps } from "../quota/UsageCaps.js";
 import type { ReachMonitor } from "../reach/ReachMonitor.js";
 import type { Relays } from "../relay/Relays.js";
 import type { StopSchedule } from "../StopSchedule.js";
@@ -34,6 +35,7 @@
     readonly rateLimits: EndpointRateLimits;
     readonly departures: LeavingEndpoints;
     readonly permits: RequestPermits;
+    readonly usageCaps: UsageCaps;
     readonly suspects: SuspectRequests;
     readonly retryBudget: RetryBudget;
     readonly bodyMemory: BodyMemory;
--- a/packages/gypsumstage-instance/src/request/createAttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/createAttemptSet.ts
@@ -42,6 +42,7 @@
 ): AttemptSet => {
     const tried = new Set<string>();
     const triedRelays = new Set<string>();
+    const refunds = new Map<string, () => void>();
     const running = new Map<string, RunningAttempt>();
     const placements: PlacementTrace[] = [];
     let sent = 0;
@@ -128,6 +129,22 @@
         sent += 1;
         return { kind: "relayed", instance: relay.name };
     };
+    /** Starts an attempt with a permit of the workspace, which is returned if nothing is sent. */
+    const startWithinCap = async (startPermitted: () => Promise<AttemptStart>): Promise<AttemptStart> => {
+        const taken = ctx.usageCaps.take(req.workspace);
+        const decision = taken instanceof Promise ? await taken : taken;
+        if (decision.kind === "exceeded") {
+            return { kind: "over-cap", retryAfterMs: decision.retryAfterMs };
+        }
+        const started = isAborted ? { kind: "abandoned" } as const : await startPermitted();
+        if (started.kind === "placed") {
+            refunds.set(started.id, decision.refund);
+        }
+        else {
+            decision.refund();
+        }
+        return started;
+    };
     const startNextPlaced = async (): Promise<AttemptStart> => {
         for (let permits = 0; permits < MAX_PERMITS; permits++) {
             const candidates = listPlacementCandidates(ctx, route, service, key, tried);
@@ -153,9 +170,12 @@
         if (ctx.reach.isCut(service)) {
             const relayed = startRelay(() => true);
             // While no instance can open connections, those that are open may still serve.
-            return relayed ?? (ctx.reach.hasContact(service) ? startNextPlaced() : { kind: "no-endpoint" });
+            return relayed
+                ?? (ctx.reach.hasContact(service)
+                    ? startWithinCap(startNextPlaced)
+                    : { kind: "no-endpoint" });
         }
-        const start = await startNextPlaced();
+        const start = await startWithinCap(startNextPlaced);
         // Endpoints that were cut off get requests again only after a health check.
         const isRelayed = start.kind === "no-endpoint" && ctx.reach.wasCutLately(service);
         return isRelayed ? startRelay(() => true) ?? start : start;
@@ -164,21 +184,31 @@
         const endpoint = ctx.view().endpoints.get(candidate.id);
         return endpoint !== undefined && !ctx.permits.isNeeded(endpoint);
     };
+    const listFree = (): readonly PlacementCandidate[] =>
+        ctx.suspects.isSuspect(req.fingerprint)
+            ? []
+            : listPlacementCandidates(ctx, route, service, key, tried)
+                .filter(hasFreeSlot)
+                .filter(needsNoPermit);
+    const startFree = (): Promise<AttemptStart> => {
+        const free = listFree();
+        const placement = free.length > 0 && ctx.retryBudget.tryTake(service)
+            ? choosePlacement(free)
+            : undefined;
+        const isStarted = placement?.kind === "placed" && start(placement, free);
+        return Promise.resolve(isStarted ? placement : { kind: "no-endpoint" });
+    };
     return {
         startNext,
-        startHedge: () => {
+        startHedge: async () => {
             if (ctx.reach.isCut(service)) {
                 startRelay(() =>
                     !ctx.suspects.isSuspect(req.fingerprint) && ctx.retryBudget.tryTake(service)
                 );
                 return;
             }
-            const free = listPlacementCandidates(ctx, route, service, key, tried)
-                .filter(hasFreeSlot)
-                .filter(needsNoPermit);
-            const isSuspect = ctx.suspects.isSuspect(req.fingerprint);
-            if (free.length > 0 && !isSuspect && ctx.retryBudget.tryTake(service)) {
-                start(choosePlacement(free), free);
+            if (listFree().length > 0) {
+                await startWithinCap(startFree);
             }
         },
         running: () => [...running.values()].map(attempt => attempt.finished),
@@ -186,6 +216,7 @@
             running.delete(attempt.endpointId);
             mayHaveRun ||= attempt.classification.kind === "unknown";
             if (!attempt.wasSent) {
+                refunds.get(attempt.endpointId)?.();
                 sent -= 1;
                 unsent += 1;
             }
--- a/packages/gypsumstage-instance/src/request/createRequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestContext.ts
@@ -70,6 +70,7 @@
         rateLimits: coordination.rateLimits,
         departures: coordination.departures,
         permits: coordination.permits,
+        usageCaps: coordination.usageCaps,
         suspects: coordination.suspects,
         retryBudget,
         localPrimaryShare: createLocalPrimaryShares(cfg.region, view, () => [
--- a/packages/gypsumstage-instance/src/request/createServeEventHandler.ts
+++ b/packages/gypsumstage-instance/src/request/createServeEventHandler.ts
@@ -97,9 +97,9 @@
         attempts.abort();
         return toReply(attempt);
     };
-    const startHedge = (): void => {
+    const startHedge = async (): Promise<void> => {
         if (canRetry()) {
-            attempts.startHedge();
+            await attempts.startHedge();
         }
     };
     return async event => {
@@ -112,7 +112,7 @@
             case "deadline":
                 return endWithoutResponse("deadline", true);
             case "hedge-due":
-                startHedge();
+                await startHedge();
                 return undefined;
             case "finished":
                 return handleFinished(event.attempt);
--- a/packages/gypsumstage-instance/src/request/serveRequest.ts
+++ b/packages/gypsumstage-instance/src/request/serveRequest.ts
@@ -75,7 +75,8 @@
     }
     if (!isStarted(first)) {
         const retryAfterMs = first.kind === "no-endpoint" ? NO_ENDPOINT_RETRY_AFTER_MS : first.retryAfterMs;
-        return { reply: { kind: "refused", reason: first.kind, retryAfterMs }, labels };
+        const status = first.kind === "over-cap" ? { status: 429 as const } : {};
+        return { reply: { kind: "refused", reason: first.kind, retryAfterMs, ...status }, labels };
     }
     const typicalMs = ctx.tracker.typicalMs(service, route.targetLatencyMs);
     const hedgeAfterMs = Math.max(
--- a/packages/gypsumstage-instance/src/request/writeReply.ts
+++ b/packages/gypsumstage-instance/src/request/writeReply.ts
@@ -62,7 +62,10 @@
         }
         case "refused": {
             const retryAfter = (reply.retryAfterMs / MS_PER_SECOND).toFixed(2);
-            writeError(res, STATUS_REFUSED, reply.reason, { ...added, "retry-after": retryAfter });
+            writeError(res, reply.status ?? STATUS_REFUSED, reply.reason, {
+                ...added,
+                "retry-after": retryAfter,
+            });
             return;
         }
         case "failed":
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -155,6 +155,7 @@
         isReady,
         readyInstances,
         permitIssuer: coordination.permitIssuer,
+        quotaHandlers: coordination.quotaHandlers,
         readNotices: coordination.readNotices,
         readMembers: peers.readMembers,
     });
--- a/packages/gypsumstage-instance/src/startListeners.ts
+++ b/packages/gypsumstage-instance/src/startListeners.ts
@@ -26,6 +26,12 @@
 import type { PermitIssuer } from "./permits/PermitIssuer.js";
 import type { PermitQuery } from "./permits/PermitQuery.js";
 import type { PlatformAdapter } from "./PlatformAdapter.js";
+import type { QuotaDivideQuery } from "./quota/QuotaDivideQuery.js";
+import type { QuotaGrant } from "./quota/QuotaGrant.js";
+import type { QuotaHandlers } from "./quota/QuotaHandlers.js";
+import type { QuotaQuery } from "./quota/QuotaQuery.js";
+import type { QuotaShares } from "./quota/QuotaShares.js";
+import type { QuotaVoteQuery } from "./quota/QuotaVoteQuery.js";
 import type { RequestServers } from "./RequestServers.js";
 
 /** State and settings that the servers of an instance use. */
@@ -37,6 +43,7 @@
     readonly isReady: () => boolean;
     readonly readyInstances: () => readonly PeerView[];
     readonly permitIssuer: PermitIssuer;
+    readonly quotaHandlers: QuotaHandlers;
     readonly readNotices: NoticeExchange["readAll"];
     readonly readMembers: PeerExchange["readMembers"];
 }
@@ -69,6 +76,10 @@
         "notices.read": () => deps.readNotices(),
         "members.read": (params): readonly MemberRecord[] => deps.readMembers(params as MemberQuery),
         "permit.issue": (params): PermitDecision => deps.permitIssuer.issue(params as PermitQuery),
+        "quota.issue": (params): QuotaGrant => deps.quotaHandlers["quota.issue"](params as QuotaQuery),
+        "quota.vote": params => deps.quotaHandlers["quota.vote"](params as QuotaVoteQuery),
+        "quota.divide": (params): QuotaShares =>
+            deps.quotaHandlers["quota.divide"](params as QuotaDivideQuery),
     });
     const metrics = createHttpServer(listen.metrics);
     registerMetrics(metrics.app, deps.registry);
