--- a/packages/gypsumstage-instance/src/quota/QuotaQuery.ts
+++ b/packages/gypsumstage-instance/src/quota/QuotaQuery.ts
@@ -10,6 +10,8 @@
     readonly waiting: number;
     /** Permits for attempts that are expected soon. */
     readonly prefetched: number;
-    /** Attempts that were refused since the last query without asking. */
+    /** All attempts since the last query, by which the demand is counted. */
+    readonly attempts: number;
+    /** Those of them that were refused without asking. */
     readonly refused: number;
 }
--- a/packages/gypsumstage-instance/src/quota/createInstanceQuota.ts
+++ b/packages/gypsumstage-instance/src/quota/createInstanceQuota.ts
@@ -4,6 +4,7 @@
 import type { RpcError } from "@gypsumstage/shared/RpcError";
 import { chooseQuotaDistributor } from "@gypsumstage/steering/traffic/chooseQuotaDistributor";
 import { chooseQuotaIssuer } from "@gypsumstage/steering/traffic/chooseQuotaIssuer";
+import { computeCapBudget } from "@gypsumstage/steering/traffic/computeCapBudget";
 import { computeQuotaUnit } from "@gypsumstage/steering/traffic/computeQuotaUnit";
 import { getQuotaGroup } from "@gypsumstage/steering/traffic/getQuotaGroup";
 import { QUOTA_GROUPS } from "@gypsumstage/steering/traffic/QUOTA_GROUPS";
@@ -48,12 +49,22 @@
     readonly log: Log;
 }
 
+const NO_CAP = { requestsPerSecond: 0, burst: 0 };
 /** Time for which a distributor or issuer that did not respond is passed over. */
 const FAILED_PAUSE_MS = 1_500;
 const FAILED_RETRY_AFTER_MS = 1_000;
+/** Time for which the distributors are kept, as ranking the instances for each attempt costs too much. */
+const CHOICE_TTL_MS = 200;
 /** The distributor of this group passes on the votes. */
 const VOTE_GROUP = 0;
 
+/** The instances that may be chosen, and the distributor of each group among them. */
+interface Choice {
+    readonly untilMs: number;
+    readonly usable: readonly QuotaInstance[];
+    readonly distributors: readonly QuotaInstance[];
+}
+
 /**
  * Creates the part of an instance in keeping usage caps: as a holder of permits, as a distributor of its data centre and as
  * the issuer, whenever it is chosen for these.
@@ -64,12 +75,16 @@
 export const createInstanceQuota = (deps: QuotaDependencies): InstanceQuota => {
     const { self, now, log } = deps;
     const ownName = self().name;
+    const getBounds = (): QuotaBounds => deps.bounds() ?? { windowMs: 0, tolerance: 0, burst: 0 };
     const index = createCapIndex(deps.policy, () => deps.bounds() !== undefined);
     const failedUntilMs = new Map<string, number>();
     const voter = createQuotaVoter(ownName);
     const issuer = createQuotaIssuer(
         deps.runId,
-        workspace => index.find(workspace)?.requestsPerSecond ?? 0,
+        workspace => {
+            const { requestsPerSecond, burst } = index.find(workspace) ?? NO_CAP;
+            return computeCapBudget(requestsPerSecond, burst, getBounds());
+        },
         now,
     );
     const distributors: readonly QuotaDistributor[] = Array.from(
@@ -78,7 +93,7 @@
             createQuotaDistributor(
                 ownName,
                 group,
-                () => deps.bounds() ?? { windowMs: 0, tolerance: 0, burst: 0 },
+                getBounds,
                 index.find,
                 () => index.list(group),
                 now,
@@ -97,13 +112,26 @@
         },
         "quota.divide": issuer,
     };
-    const listUsable = (): readonly QuotaInstance[] => {
-        const nowMs = now();
-        const others = deps.live().filter(each =>
-            each.isReady && (failedUntilMs.get(each.name) ?? 0) <= nowMs
-        );
-        return [self(), ...others];
+    const isUsable = (instance: QuotaInstance): boolean =>
+        instance.isReady && (failedUntilMs.get(instance.name) ?? 0) <= now();
+    let choice: Choice | undefined;
+    const choose = (): Choice => {
+        if (choice !== undefined && now() < choice.untilMs) {
+            return choice;
+        }
+        const usable = [self(), ...deps.live().filter(isUsable)];
+        const find = (name: string | undefined): QuotaInstance =>
+            usable.find(each => each.name === name) ?? self();
+        choice = {
+            untilMs: now() + CHOICE_TTL_MS,
+            usable,
+            distributors: distributors.map((_, group) =>
+                find(chooseQuotaDistributor(self().dataCentre, group, usable))
+            ),
+        };
+        return choice;
     };
+    const findDistributor = (group: number): QuotaInstance => choose().distributors[group] ?? self();
     const call: Call = async (instance, method, query) => {
         if (instance.name === ownName) {
             const handle = handlers[method] as (query: unknown) => never;
@@ -112,15 +140,11 @@
         const res = await deps.call(instance, method, query);
         if (!res.ok) {
             failedUntilMs.set(instance.name, now() + FAILED_PAUSE_MS);
+            choice = undefined;
             log("warn", "quota-query-failed", { method, peer: instance.name, error: res.error });
         }
         return res;
     };
-    const findDistributor = (group: number): QuotaInstance => {
-        const usable = listUsable();
-        const name = chooseQuotaDistributor(self().dataCentre, group, usable);
-        return usable.find(each => each.name === name) ?? self();
-    };
     const query = async (params: QuotaQuery): Promise<QuotaGrant> => {
         const group = getQuotaGroup(params.cap.name);
         const res = await call(findDistributor(group), "quota.issue", params);
@@ -149,21 +173,24 @@
             if (!isActive()) {
                 return;
             }
-            const vote = voter.vote(computeQuotaUnit(roster, now()));
+            const vote = voter.vote(computeQuotaUnit(roster, now()), now());
             const params = vote === undefined ? {} : { vote };
             const res = await call(findDistributor(VOTE_GROUP), "quota.vote", params);
             if (res.ok && "issuerId" in res.value) {
-                voter.bind({ issuerId: res.value.issuerId, stampMs: res.value.stampMs }, now());
+                voter.hear({ issuerId: res.value.issuerId, stampMs: res.value.stampMs }, now());
             }
         },
         divide: async () => {
             if (!isActive()) {
                 return;
             }
-            const usable = listUsable();
+            const own = distributors.filter((_, group) => findDistributor(group).name === ownName);
+            if (own.length === 0) {
+                return;
+            }
+            const { usable } = choose();
             const issuerName = chooseQuotaIssuer(usable.map(each => each.name));
             const target = usable.find(each => each.name === issuerName) ?? self();
-            const own = distributors.filter((_, group) => findDistributor(group).name === ownName);
             await Promise.all(own.map(async distributor => {
                 const sentAtMs = now();
                 const res = await call(target, "quota.divide", distributor.createQuery());
--- a/packages/gypsumstage-instance/src/quota/createQuotaDistributor.ts
+++ b/packages/gypsumstage-instance/src/quota/createQuotaDistributor.ts
@@ -75,14 +75,14 @@
         return { kind: "denied", retryAfterMs, spacingMs: missed > 1 ? spacingMs : 0 };
     };
     return {
-        issue: ({ cap, holder, waiting, prefetched, refused }) => {
+        issue: ({ cap, holder, waiting, prefetched, attempts, refused }) => {
             const nowMs = now();
             const account = getAccount(cap.name);
             const budget = getBudget(cap);
             const bucket = refillQuotaBucket(account.bucket, budget, nowMs);
             const recent = [...account.holders].filter(([, atMs]) => nowMs - atMs < HOLDER_WINDOW_MS);
             const holders = new Map([...recent, [holder, nowMs] as const]);
-            demand.add(cap.name, waiting + refused, nowMs);
+            demand.add(cap.name, attempts, nowMs);
             const available = Math.floor(bucket.tokens);
             const fairPart = Math.floor(bucket.tokens / holders.size);
             const count = Math.min(
@@ -122,6 +122,9 @@
             return {
                 distributor: name,
                 group,
+                ...(latest === undefined
+                    ? {}
+                    : { applied: { issuerId: latest.issuerId, stampMs: latest.stampMs } }),
                 votes: [...votes.values()].map(each => each.vote),
                 demand: demand.rates(nowMs),
             };
--- a/packages/gypsumstage-instance/src/quota/createQuotaIssuer.ts
+++ b/packages/gypsumstage-instance/src/quota/createQuotaIssuer.ts
@@ -1,4 +1,5 @@
 import { CLOCK_RATE_MARGIN_FACTOR } from "@gypsumstage/steering/CLOCK_RATE_MARGIN_FACTOR";
+import type { CapBudget } from "@gypsumstage/steering/traffic/CapBudget";
 import { divideCap } from "@gypsumstage/steering/traffic/divideCap";
 import { QUOTA_SHARE_VALIDITY_MS } from "@gypsumstage/steering/traffic/QUOTA_SHARE_VALIDITY_MS";
 import { QUOTA_VOTE_VALIDITY_MS } from "@gypsumstage/steering/traffic/QUOTA_VOTE_VALIDITY_MS";
@@ -10,7 +11,10 @@
 /** Shares are rounded down, which keeps responses short. */
 const SHARE_STEPS = 10_000;
 
-interface Grant extends Pick<QuotaShares, "evenShare" | "shares"> {
+/** Relative reduction below which a share stays as it is while demand is within the cap: each one costs the permits that the distributor has in stock. */
+const MIN_CHANGE = 0.2;
+
+interface Grant extends Pick<QuotaShares, "evenShare" | "shares" | "stampMs"> {
     readonly untilMs: number;
 }
 
@@ -20,6 +24,14 @@
     readonly grants: readonly Grant[];
 }
 
+const findLatest = ({ grants }: Distributor, workspace: string): number | undefined => {
+    const latest = grants.at(-1);
+    return latest?.shares[workspace] ?? latest?.evenShare;
+};
+
+const stabilize = (target: number, latest = target): number =>
+    target < latest && target > (1 - MIN_CHANGE) * latest ? latest : target;
+
 const roundDown = (share: number): number => Math.max(0, Math.floor(share * SHARE_STEPS) / SHARE_STEPS);
 
 /** Largest share of a cap that a distributor may hold, as it may not have received the latest ones. */
@@ -36,13 +48,13 @@
  * distributors by demand. What a distributor may still hold is granted to no other one.
  *
  * @param issuerId - identifies this run of the process
- * @param getRate - returns the rate of a workspace's cap, in requests per second
+ * @param getBudget - returns what all instances together may issue of a workspace's cap
  * @param now - the lease clock
  * @returns the function that responds to a distributor
  */
 export const createQuotaIssuer = (
     issuerId: string,
-    getRate: (workspace: string) => number,
+    getBudget: (workspace: string) => CapBudget,
     now: () => number,
 ): (query: QuotaDivideQuery) => QuotaShares => {
     const votes = new Map<string, QuotaVote>();
@@ -73,23 +85,24 @@
             }
         }
     };
-    return ({ distributor, group, votes: received, demand }) => {
+    return ({ distributor, group, applied, votes: received, demand }) => {
         const nowMs = now();
         recordVotes(received, nowMs);
         const distributors = groups.get(group) ?? new Map<string, Distributor>();
         groups.set(group, distributors);
         dropExpired(distributors, nowMs);
+        const appliedMs = applied?.issuerId === issuerId ? applied.stampMs : -Infinity;
         const own: Distributor = {
             demand,
             askedAtMs: nowMs,
-            grants: distributors.get(distributor)?.grants ?? [],
+            grants: (distributors.get(distributor)?.grants ?? []).filter(grant => grant.stampMs >= appliedMs),
         };
         distributors.set(distributor, own);
         const untilMs = nowMs + QUOTA_SHARE_VALIDITY_MS * CLOCK_RATE_MARGIN_FACTOR;
         const total = sumQuotaVotes(votes.values(), untilMs);
         const all = [...distributors.values()];
         const others = all.filter(each => each !== own);
-        const active = all.filter(each => nowMs - each.askedAtMs < QUOTA_SHARE_VALIDITY_MS).length;
+        const active = all.filter(each => nowMs - each.askedAtMs < QUOTA_SHARE_VALIDITY_MS);
         const listed = new Set(
             all.flatMap(each => [
                 ...Object.keys(each.demand),
@@ -97,18 +110,19 @@
             ]),
         );
         const grantShare = (workspace: string): number => {
-            const target = divideCap(
-                total,
-                getRate(workspace),
-                demand[workspace] ?? 0,
-                sum(all.map(each => each.demand[workspace] ?? 0)),
-                active,
-            );
-            return roundDown(Math.min(target, total - sum(others.map(each => findHeld(each, workspace)))));
+            const budget = getBudget(workspace);
+            const demands = active.map(each => each.demand[workspace] ?? 0);
+            const target = divideCap(total, budget, demands)[active.indexOf(own)] ?? 0;
+            const isOver = sum(demands) > budget.ratePerSecond * total;
+            const wanted = isOver ? target : stabilize(target, findLatest(own, workspace));
+            return roundDown(Math.min(wanted, total - sum(others.map(each => findHeld(each, workspace)))));
         };
         const shares = Object.fromEntries([...listed].map(workspace => [workspace, grantShare(workspace)]));
-        const evenShare = roundDown(Math.min(total / active, total - sum(others.map(findHeldEven))));
-        distributors.set(distributor, { ...own, grants: [...own.grants, { evenShare, shares, untilMs }] });
+        const evenShare = roundDown(Math.min(total / active.length, total - sum(others.map(findHeldEven))));
+        distributors.set(distributor, {
+            ...own,
+            grants: [...own.grants, { evenShare, shares, stampMs: nowMs, untilMs }],
+        });
         return { issuerId, stampMs: nowMs, evenShare, shares };
     };
 };
--- a/packages/gypsumstage-instance/src/quota/createQuotaVoter.ts
+++ b/packages/gypsumstage-instance/src/quota/createQuotaVoter.ts
@@ -5,10 +5,10 @@
 
 /** The vote of an instance, which is lent to one issuer at a time. */
 interface QuotaVoter {
-    /** Returns the vote; undefined while there is none to give. */
-    readonly vote: (unit: number) => QuotaVote | undefined;
-    /** Binds the vote to an issuer, unless it is still bound to another one. */
-    readonly bind: (stamp: QuotaStamp, nowMs: number) => void;
+    /** Returns the vote for the issuer that was heard of last; undefined while it is lent to another one or worth nothing. */
+    readonly vote: (unit: number, nowMs: number) => QuotaVote | undefined;
+    /** Records a time of an issuer's clock. */
+    readonly hear: (stamp: QuotaStamp, nowMs: number) => void;
 }
 
 /**
@@ -16,24 +16,27 @@
  * ended there when its validity has passed here since then.
  *
  * @param voter - name of the instance
- * @returns the vote, which is not bound
+ * @returns the vote, which is not lent
  */
 export const createQuotaVoter = (voter: string): QuotaVoter => {
-    let bound: (QuotaStamp & { readonly untilMs: number; }) | undefined;
+    let heard: (QuotaStamp & { readonly endsAtMs: number; }) | undefined;
+    let lent: { readonly issuerId: string; readonly untilMs: number; } | undefined;
     return {
-        vote: unit =>
-            bound === undefined || unit === 0
-                ? undefined
-                : { voter, issuerId: bound.issuerId, stampMs: bound.stampMs, unit },
-        bind: ({ issuerId, stampMs }, nowMs) => {
-            if (bound !== undefined && bound.issuerId !== issuerId && nowMs < bound.untilMs) {
-                return;
+        vote: (unit, nowMs) => {
+            const isLentElsewhere = lent !== undefined && lent.issuerId !== heard?.issuerId
+                && nowMs < lent.untilMs;
+            if (heard === undefined || unit === 0 || isLentElsewhere) {
+                return undefined;
             }
-            if (bound?.issuerId === issuerId && bound.stampMs >= stampMs) {
-                return;
+            const { issuerId, stampMs, endsAtMs } = heard;
+            lent = { issuerId, untilMs: endsAtMs };
+            return { voter, issuerId, stampMs, unit };
+        },
+        hear: ({ issuerId, stampMs }, nowMs) => {
+            if (heard?.issuerId !== issuerId || heard.stampMs < stampMs) {
+                const endsAtMs = nowMs + QUOTA_VOTE_VALIDITY_MS * CLOCK_RATE_MARGIN_FACTOR;
+                heard = { issuerId, stampMs, endsAtMs };
             }
-            const untilMs = nowMs + QUOTA_VOTE_VALIDITY_MS * CLOCK_RATE_MARGIN_FACTOR;
-            bound = { issuerId, stampMs, untilMs };
         },
     };
 };
--- a/packages/gypsumstage-instance/src/quota/createUsageCaps.ts
+++ b/packages/gypsumstage-instance/src/quota/createUsageCaps.ts
@@ -13,6 +13,8 @@
 const MAX_DENIAL_MS = 100;
 /** Permits are fetched ahead for the attempts expected in this time, which is below their validity. */
 const PREFETCH_MS = 150;
+/** Smallest number of expected attempts for which permits are fetched ahead; with fewer, too many would expire unused. */
+const MIN_PREFETCHED = 3;
 const MS_PER_SECOND = 1_000;
 const UNLIMITED: UsageDecision = { kind: "granted", refund: () => undefined };
 
@@ -33,7 +35,10 @@
     readonly cap: UsageCap;
     batches: readonly Batch[];
     denial: Denial | undefined;
+    /** Attempts that wait for a permit. */
     waiting: number;
+    /** Attempts, and those of them that were refused without a query, since the last query. */
+    attempts: number;
     refused: number;
     query: Promise<void> | undefined;
 }
@@ -74,6 +79,7 @@
             batches: [],
             denial: undefined,
             waiting: 0,
+            attempts: 0,
             refused: 0,
             query: undefined,
         };
@@ -81,6 +87,10 @@
         return stock;
     };
     const countPermits = (stock: Stock): number => stock.batches.reduce((sum, batch) => sum + batch.count, 0);
+    const countExpected = (stock: Stock): number => {
+        const expected = demand.ratePerSecond(stock.cap.name, now()) * PREFETCH_MS / MS_PER_SECOND;
+        return expected < MIN_PREFETCHED ? 0 : expected;
+    };
     const takePermit = (stock: Stock): UsageDecision | undefined => {
         const nowMs = now();
         stock.batches = stock.batches.filter(batch => batch.count > 0 && nowMs < batch.untilMs);
@@ -112,12 +122,13 @@
     const refill = async (stock: Stock): Promise<void> => {
         // Attempts that arrive together share the query.
         await Promise.resolve();
-        const { cap, waiting, refused } = stock;
+        const { cap, waiting, attempts, refused } = stock;
         const sentAtMs = now();
+        stock.attempts = 0;
         stock.refused = 0;
-        const expected = demand.ratePerSecond(cap.name, sentAtMs) * PREFETCH_MS / MS_PER_SECOND;
-        const prefetched = Math.floor(expected);
-        const grant = await deps.query({ cap, holder: name, waiting, prefetched, refused });
+        const missing = countExpected(stock) - countPermits(stock);
+        const prefetched = Math.max(0, Math.floor(missing));
+        const grant = await deps.query({ cap, holder: name, waiting, prefetched, attempts, refused });
         const nowMs = now();
         if (grant.kind === "granted") {
             const untilMs = sentAtMs + QUOTA_PERMIT_VALIDITY_MS;
@@ -137,8 +148,8 @@
             stock.query = undefined;
         });
     const refillAhead = (stock: Stock): void => {
-        const isNeeded = demand.ratePerSecond(stock.cap.name, now()) * PREFETCH_MS / MS_PER_SECOND >= 1;
-        if (isNeeded && countPermits(stock) <= 1 && findDenial(stock) === undefined) {
+        const isNeeded = countPermits(stock) < countExpected(stock) / 2;
+        if (isNeeded && findDenial(stock) === undefined) {
             void refillOnce(stock);
         }
     };
@@ -170,6 +181,7 @@
             }
             const stock = getStock(cap);
             demand.add(cap.name, 1, now());
+            stock.attempts += 1;
             const decision = takePermit(stock);
             if (decision !== undefined) {
                 refillAhead(stock);
--- a/packages/gypsumstage-instance/src/quota/startUsageCaps.ts
+++ b/packages/gypsumstage-instance/src/quota/startUsageCaps.ts
@@ -16,9 +16,9 @@
 /** Time-out of a query: a few round trips between regions, as a request may wait for it. */
 const QUERY_TIMEOUT_MS = 250;
 /** Time between two votes; several fit into their validity. */
-const VOTE_INTERVAL_MS = 500;
-/** Time between two exchanges with the issuer; three fit into the validity of a share. */
-const DIVIDE_INTERVAL_MS = 350;
+const VOTE_INTERVAL_MS = 400;
+/** Time between two exchanges with the issuer; several fit into the validity of a share. */
+const DIVIDE_INTERVAL_MS = 300;
 /** Time between two log lines for the same workspace. */
 const LOG_INTERVAL_MS = 1_000;
 
--- a/packages/gypsumstage-steering/src/traffic/QUOTA_SHARE_VALIDITY_MS.ts
+++ b/packages/gypsumstage-steering/src/traffic/QUOTA_SHARE_VALIDITY_MS.ts
@@ -1,2 +1,2 @@
-/** Time for which the issuer grants a share: three exchanges, so that one that is lost does no harm. */
-export const QUOTA_SHARE_VALIDITY_MS = 1_200;
+/** Time for which the issuer grants a share: some exchanges, so that shares outlast the loss of a few, and for a while their issuer. */
+export const QUOTA_SHARE_VALIDITY_MS = 1_400;
--- a/packages/gypsumstage-steering/src/traffic/QUOTA_VOTE_VALIDITY_MS.ts
+++ b/packages/gypsumstage-steering/src/traffic/QUOTA_VOTE_VALIDITY_MS.ts
@@ -1,5 +1,5 @@
 /**
- * Time for which a vote counts, from the issuer's time that it states. A vote reaches the issuer up to 1.5 s after that
- * time, and covers shares that the issuer grants for QUOTA_SHARE_VALIDITY_MS.
+ * Time for which a vote counts, from the issuer's time that it states. A vote is up to 1.4 s old when the issuer counts it, and
+ * has to outlast the shares that are granted by it (QUOTA_SHARE_VALIDITY_MS). A successor waits for it.
  */
-export const QUOTA_VOTE_VALIDITY_MS = 3_000;
+export const QUOTA_VOTE_VALIDITY_MS = 3_200;
--- a/packages/gypsumstage-steering/src/traffic/QuotaRoster.ts
+++ b/packages/gypsumstage-steering/src/traffic/QuotaRoster.ts
@@ -6,5 +6,7 @@
     readonly forgotten: ReadonlySet<string>;
     /** Until when this instance uses no part, because the others may not count it. */
     readonly abstainsUntilMs: number;
+    /** True from the start of the process until it has used its part for the first time. */
+    readonly isNew: boolean;
     readonly updatedAtMs: number;
 }
--- a/packages/gypsumstage-steering/src/traffic/QuotaVote.ts
+++ b/packages/gypsumstage-steering/src/traffic/QuotaVote.ts
@@ -6,6 +6,6 @@
     readonly issuerId: string;
     /** Latest time of the issuer's lease clock that the instance had heard of. */
     readonly stampMs: number;
-    /** The part, 0 to 1. */
+    /** The part, 0 to 1: one divided by the number of instances that the voter counts. */
     readonly unit: number;
 }
--- a/packages/gypsumstage-steering/src/traffic/updateQuotaRoster.ts
+++ b/packages/gypsumstage-steering/src/traffic/updateQuotaRoster.ts
@@ -2,6 +2,8 @@
 
 /** Longer than news of an instance take to reach all others and their next votes to reach the issuer. */
 const ABSTENTION_MS = 4_000;
+/** At the start: until the instances that start at the same time have found each other. */
+const START_ABSTENTION_MS = 2_000;
 /** Silence after which a few instances are no longer counted; longer than it takes them to notice that they are alone. */
 const FORGET_AFTER_MS = 30_000;
 /** A part of the fleet up to this size uses no share when it is cut off, so the others need not keep it. */
@@ -45,16 +47,21 @@
             forgotten.add(name);
         });
     }
-    const wasPaused = roster === undefined || nowMs - roster.updatedAtMs > PAUSE_MS;
-    const hasGrownFromStart = roster !== undefined && roster.abstainsUntilMs > nowMs
-        && known > roster.liveAtMs.size;
     const isAlone = isSmall(live.length, known);
-    return {
-        liveAtMs,
-        forgotten,
-        abstainsUntilMs: wasPaused || hasGrownFromStart || isAlone
-            ? nowMs + ABSTENTION_MS
-            : roster.abstainsUntilMs,
-        updatedAtMs: nowMs,
-    };
+    const base = { liveAtMs, forgotten, updatedAtMs: nowMs };
+    if (roster === undefined) {
+        return { ...base, abstainsUntilMs: nowMs + START_ABSTENTION_MS, isNew: true };
+    }
+    if (isAlone || nowMs - roster.updatedAtMs > PAUSE_MS) {
+        return { ...base, abstainsUntilMs: nowMs + ABSTENTION_MS, isNew: roster.isNew };
+    }
+    // During a split, the other side can't count a new instance.
+    const isUncounted = known > roster.liveAtMs.size || !isSmall(silent.length, known);
+    return roster.isNew && isUncounted
+        ? {
+            ...base,
+            abstainsUntilMs: Math.max(roster.abstainsUntilMs, nowMs + START_ABSTENTION_MS),
+            isNew: true,
+        }
+        : { ...base, abstainsUntilMs: roster.abstainsUntilMs, isNew: nowMs < roster.abstainsUntilMs };
 };
