--- a/packages/gypsumstage-instance/src/__tests__/unit/createAttemptSet.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createAttemptSet.test.ts
@@ -3,6 +3,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { RequestPermits } from "../../permits/RequestPermits.js";
+import type { UsageDecision } from "../../quota/UsageDecision.js";
 import type { AttemptSet } from "../../request/AttemptSet.js";
 import { createAttemptSet } from "../../request/createAttemptSet.js";
 import { startAttempt } from "../../request/startAttempt.js";
@@ -74,3 +75,28 @@
     await respond(200, {});
     assert.equal(ctx.rateLimits.ratePerSecond(FIRST), undefined);
 });
+
+test("an attempt over the usage cap is not sent, and a permit of one that did not reach its endpoint is returned", async () => {
+    const context = createTestContext(grantAfter(() => undefined));
+    context.setEndpoints([FIRST]);
+    let refunds = 0;
+    let isExceeded = true;
+    const usageCaps = {
+        take: (): UsageDecision =>
+            isExceeded
+                ? { kind: "exceeded", retryAfterMs: 700 }
+                : { kind: "granted", refund: () => refunds += 1 },
+    };
+    const attempts = createSet({ ...context, ctx: { ...context.ctx, usageCaps } });
+    assert.deepEqual(await attempts.startNext(), { kind: "over-cap", retryAfterMs: 700 });
+    await attempts.startHedge();
+    assert.deepEqual(context.sentTo, []);
+    isExceeded = false;
+    context.setOutcome({ kind: "not-sent", reason: "ECONNREFUSED", isPortClosed: false });
+    assert.equal((await attempts.startNext()).kind, "placed");
+    assert.equal(refunds, 0);
+    attempts.recordFinished(await (attempts.running()[0] ?? assert.fail("nothing is running")));
+    assert.equal(refunds, 1);
+    assert.equal((await attempts.startNext()).kind, "no-endpoint");
+    assert.equal(refunds, 2);
+});
