--- a/packages/gypsumstage-instance/src/InstanceMetrics.ts
+++ b/packages/gypsumstage-instance/src/InstanceMetrics.ts
@@ -16,6 +16,8 @@
     readonly countPlacement: (service: string, candidate: "usual" | "further") => void;
     /** Counts a permit for a request to a rate-limited endpoint. */
     readonly countPermit: (service: string, result: "granted" | "denied") => void;
+    /** Counts a permit for an attempt of a workspace with a usage cap. */
+    readonly countUsage: (result: "granted" | "exceeded") => void;
     /** Counts a request that was passed on to another instance, or by one, and what came of it. */
     readonly countRelay: (direction: "sent" | "received", result: string) => void;
     /** Counts an attempt to confirm the copy of the configuration, by the store or another instance. */
--- a/packages/gypsumstage-instance/src/__tests__/unit/createTestContext.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createTestContext.ts
@@ -84,6 +84,7 @@
         departures: createLeavingEndpoints(id => view().endpoints.get(id), tracker, log),
         rateLimits: createEndpointRateLimits(id => view().endpoints.get(id), log),
         permits,
+        usageCaps: { take: () => ({ kind: "granted", refund: () => undefined }) },
         suspects: createSuspectRequests(() => false, log),
         admission: { isEnabled: () => false, endpointQueueLimit: () => undefined, wake: () => undefined },
         retryBudget: { tryTake: () => true },
--- a/packages/gypsumstage-instance/src/createInstanceMetrics.ts
+++ b/packages/gypsumstage-instance/src/createInstanceMetrics.ts
@@ -144,6 +144,12 @@
         labelNames: ["service", "result"],
         registers: [registry],
     });
+    const usage = new Counter({
+        name: "gypsumstage_quota_total",
+        help: "Permits for attempts of workspaces with a usage cap, by what came of them",
+        labelNames: ["result"],
+        registers: [registry],
+    });
     const relays = new Counter({
         name: "gypsumstage_relays_total",
         help: "Requests passed on to another instance, or by one, and what came of them",
@@ -212,6 +218,7 @@
         countRateLimitedAttempt: service => rateLimitedAttempts.inc({ service }),
         countPlacement: (service, candidate) => placements.inc({ service, candidate }),
         countPermit: (service, result) => permits.inc({ service, result }),
+        countUsage: result => usage.inc({ result }),
         countRelay: (direction, result) => relays.inc({ direction, result }),
         countConfirmation: (source, result) => confirmations.inc({ source, result }),
         recordAttempt: (service, classification, tookMs) =>
--- a/packages/gypsumstage-instance/src/request/RequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/RequestContext.ts
@@ -6,6 +6,7 @@
 import type { KeyTrust } from "../keys/KeyTrust.js";
 import type { PeerExchange } from "../peers/PeerExchange.js";
 import type { RequestPermits } from "../permits/RequestPermits.js";
+import type { UsageCaps } from "../quota/UsageCaps.js";
 import type { ReachMonitor } from "../reach/ReachMonitor.js";
 import type { Relays } from "../relay/Relays.js";
 import type { StopSchedule } from "../StopSchedule.js";
@@ -39,6 +40,7 @@
     readonly rateLimits: EndpointRateLimits;
     readonly departures: LeavingEndpoints;
     readonly permits: RequestPermits;
+    readonly usageCaps: UsageCaps;
     readonly suspects: SuspectRequests;
     readonly admission: Admission;
     readonly retryBudget: RetryBudget;
--- a/packages/gypsumstage-instance/src/request/createRequestContext.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestContext.ts
@@ -95,6 +95,7 @@
         rateLimits: coordination.rateLimits,
         departures: coordination.departures,
         permits: coordination.permits,
+        usageCaps: coordination.usageCaps,
         suspects: coordination.suspects,
         admission: createAdmission({
             view,
--- a/packages/gypsumstage-instance/src/request/serveRequest.ts
+++ b/packages/gypsumstage-instance/src/request/serveRequest.ts
@@ -13,6 +13,7 @@
 import { spreadRefusal } from "./spreadRefusal.js";
 import { startFirstAttempt } from "./startFirstAttempt.js";
 
+const STATUS_TOO_MANY_REQUESTS = 429 as const;
 const NO_ENDPOINT_RETRY_AFTER_MS = 500;
 /** Other instances serve at once. */
 const LEAVING_RETRY_AFTER_MS = 50;
@@ -78,7 +79,8 @@
     }
     if (!isStarted(first)) {
         const retryAfterMs = first.kind === "no-endpoint" ? NO_ENDPOINT_RETRY_AFTER_MS : first.retryAfterMs;
-        const refusal: Reply = { kind: "refused", reason: first.kind, retryAfterMs };
+        const status = first.kind === "over-cap" ? { status: STATUS_TOO_MANY_REQUESTS } : {};
+        const refusal: Reply = { kind: "refused", reason: first.kind, retryAfterMs, ...status };
         return { reply: spreadRefusal(ctx, service, refusal, deadlineAtMs), labels };
     }
     const reply = await awaitReply(ctx, route, service, attempts, deadlineAtMs, callerDisconnect);
--- a/packages/gypsumstage-instance/src/request/spreadRefusal.ts
+++ b/packages/gypsumstage-instance/src/request/spreadRefusal.ts
@@ -11,6 +11,7 @@
     "instance-stopping",
     "no-endpoint",
     "ends-endpoints",
+    "over-cap",
 ]);
 
 /**
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -196,6 +196,7 @@
         readyInstances,
         permitIssuer: coordination.permitIssuer,
         confirmPolicy: keyConfirmation.answer,
+        quotaHandlers: coordination.quotaHandlers,
         readNotices: coordination.readNotices,
         readMembers: peers.readMembers,
     });
