Average stated slowness instead of latencies where endpoints state it

One request of seven times the usual length raised its endpoint's observed slowness to 1.9, which halves in 3 s, and a wait there counted as slowness beside the queue that is estimated. So long work held back short work from endpoints with free slots.

Where placement goes by stated loads and the response states one, the moving average takes the stated slowness. Elsewhere, and for responses without the header, latencies count as before; the typical latency for it is again that of the service. The new test fails without the change (5 of 6 pass), with it 6 of 6; createAttemptSet, createBrokenAttempts, explanation, faultyEndpoints pass.

--- a/packages/gypsumstage-instance/src/__tests__/unit/listEstimatedCandidates.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/listEstimatedCandidates.test.ts
@@ -4,6 +4,7 @@
 import { test } from "node:test";
 import { createAttemptSet } from "../../request/createAttemptSet.js";
 import { listPlacementCandidates } from "../../request/listPlacementCandidates.js";
+import { startAttempt } from "../../request/startAttempt.js";
 import { createTestContext } from "./createTestContext.js";
 
 const endpoints = Array.from(
@@ -84,3 +85,23 @@
         assert.equal(sentTo.length, isShiftAllowed ? 1 : 0);
     }
 });
+
+test("a long request does not make its endpoint look slow where that states that it is not", async () => {
+    const { ctx, req, setOutcome } = createContext();
+    const headerCodec = { ...ctx.headerCodec, readLoad: () => FREE };
+    setOutcome({
+        kind: "answered",
+        status: 200,
+        headers: {},
+        body: Buffer.alloc(0),
+        isEndStated: true,
+        isFirstOnConnection: false,
+    });
+    const [endpoint] = endpoints;
+    assert.ok(endpoint);
+    ctx.tracker.trackRequest(endpoint.id, "17");
+    // A target of 0.01 ms makes any response take many times the typical latency.
+    const attempt = startAttempt({ ...ctx, headerCodec }, req, endpoint, "17", Infinity, 0.01);
+    await attempt.finished;
+    assert.equal(ctx.tracker.health(endpoint.id).slowness, 1);
+});
--- a/packages/gypsumstage-instance/src/request/startAttempt.ts
+++ b/packages/gypsumstage-instance/src/request/startAttempt.ts
@@ -84,19 +84,21 @@
         }
         else if (outcome.kind === "answered") {
             const isGood = classification.kind === "final" && !classification.isError;
-            const typicalMs = ctx.choosesByStatedLoad()
-                ? tracker.workTimes.typicalMs(endpoint.service, targetLatencyMs)
-                : tracker.typicalMs(endpoint.service, targetLatencyMs);
+            const typicalMs = tracker.typicalMs(endpoint.service, targetLatencyMs);
+            const load = ctx.headerCodec.readLoad(outcome.headers);
+            // A latency includes the wait and the length of the request; the statement doesn't.
+            const statedSlowness = ctx.choosesByStatedLoad() ? load?.slowness : undefined;
+            const observedSlowness = isGood && isWarm ? (nowMs - startedAtMs) / typicalMs : undefined;
             tracker.recordHealthEvent(endpoint.id, {
                 kind: "answered",
                 nowMs,
-                slowness: isGood && isWarm ? (nowMs - startedAtMs) / typicalMs : undefined,
+                slowness: statedSlowness ?? observedSlowness,
                 isError: !isGood,
             });
             if (isGood) {
                 tracker.recordLatency(endpoint.service, nowMs - startedAtMs);
             }
-            if (isGood && ctx.headerCodec.readLoad(outcome.headers)?.waiting === 0) {
+            if (isGood && load?.waiting === 0) {
                 tracker.workTimes.record(endpoint.service, targetLatencyMs, nowMs - startedAtMs);
             }
         }
