--- a/packages/gypsumstage-instance/src/__tests__/unit/relays.test.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/relays.test.ts
@@ -110,6 +110,8 @@
     const cutOff = {
         ...ctx,
         reach: { ...ctx.reach, isCut: () => true, hasContact: () => hasContact },
+        // The instance that sends a relayed request to an endpoint counts it.
+        ...(hasContact ? {} : { usageCaps: { take: () => assert.fail("counted twice") } }),
         relays: {
             choose: (_route, _service, tried) =>
                 ["n-1", "n-2"]
