--- a/packages/gypsumstage-steering/src/traffic/findAdmissionRules.ts
+++ b/packages/gypsumstage-steering/src/traffic/findAdmissionRules.ts
@@ -13,21 +13,23 @@
 
 /**
  * Finds the services whose requests are admitted by urgency and workspace: all of them when the configuration has
- * workspaces, else those that routes of different priorities share. Workload: kinds of requests, and workspaces, that
- * compete for the slots of a service. Other services are served first come first served.
+ * workspaces. Workload: kinds of requests, and workspaces, that compete for the slots of a service. Without workspaces
+ * requests are served first come first served: the caller's own kinds queue at the endpoints, where no slot waits for an
+ * instance to hear that it is free.
  *
  * @param policy - the configuration in force
  * @returns the rule of each service with admission
  */
 export const findAdmissionRules = (policy: TrafficPolicy): ReadonlyMap<string, AdmissionRule> => {
     const workspaces = policy.workspaces ?? [];
+    if (workspaces.length === 0) {
+        return new Map();
+    }
     const ofWorkspaces = workspaces.flatMap(({ priority }) => priority === undefined ? [] : [priority]);
     return new Map(
-        [...listPriorities(policy)]
-            .filter(([, ofRoutes]) => workspaces.length > 0 || new Set(ofRoutes).size > 1)
-            .map(([service, ofRoutes]) => [
-                service,
-                { mostUrgent: Math.min(...ofRoutes, ...ofWorkspaces) },
-            ]),
+        [...listPriorities(policy)].map(([service, ofRoutes]) => [
+            service,
+            { mostUrgent: Math.min(...ofRoutes, ...ofWorkspaces) },
+        ]),
     );
 };
