Pause only responses that state a length and keep their connection

Cause: undici fails its assertion !this.paused when a connection that ends its response closes while the reading is paused; the response then never finishes, and as the one large response being read it kept the others waiting until their deadlines. Ruled out: a resume that is lost.

--- a/packages/gypsumstage-instance/src/upstream/createResponseCollector.ts
+++ b/packages/gypsumstage-instance/src/upstream/createResponseCollector.ts
@@ -37,13 +37,18 @@
     connection: UpstreamConnection,
     memory: ResponseMemory,
     onLimitExceeded: (reason: string) => void,
-    flow: ResponseFlow,
+    flow: Omit<ResponseFlow, "canPause">,
 ): ResponseCollector => {
     let status = 0;
     let headers: IncomingHttpHeaders = {};
     let bodyBytes = 0;
     const pieces: Buffer[] = [];
-    const reservation = memory.open(() => onLimitExceeded("no memory left for the response"), flow);
+    const reservation = memory.open(() => onLimitExceeded("no memory left for the response"), {
+        ...flow,
+        // The client library (undici) fails on the end of a connection that ends its response while the reading is paused.
+        canPause: () =>
+            headers["content-length"] !== undefined && String(headers.connection).toLowerCase() !== "close",
+    });
     const receivedBefore = connection.receivedBytes();
     connection.setReceiveListener(() => {
         const receivedBytes = connection.receivedBytes() - receivedBefore;
--- a/packages/gypsumstage-instance/src/upstream/createResponseMemory.ts
+++ b/packages/gypsumstage-instance/src/upstream/createResponseMemory.ts
@@ -6,7 +6,7 @@
 import type { ResponseMemory } from "./ResponseMemory.js";
 
 const CHECK_INTERVAL_MS = 250;
-const NO_FLOW: ResponseFlow = { pause: () => undefined, resume: () => undefined };
+const NO_FLOW: ResponseFlow = { canPause: () => false, pause: () => undefined, resume: () => undefined };
 
 interface TrackedResponse extends HeldResponse {
     bytes: number;
@@ -51,7 +51,7 @@
         response.onCut();
     };
     const mustPause = (response: TrackedResponse): boolean =>
-        isReceiptPaused(response, held, usedBytes, limitBytes);
+        isReceiptPaused(response, held, usedBytes, limitBytes, monotonicNow());
     const resumeWherePossible = (): void => {
         for (const response of [...held].filter(each => each.isPaused)) {
             if (!mustPause(response)) {
@@ -100,11 +100,12 @@
                         return;
                     }
                     response.bytes += bytes;
+                    response.progressAtMs = monotonicNow();
                     usedBytes += bytes;
                     if (usedBytes > limitBytes) {
                         cutWhereNeeded();
                     }
-                    if (held.has(response) && !response.isPaused && mustPause(response)) {
+                    if (held.has(response) && !response.isPaused && flow.canPause() && mustPause(response)) {
                         pause(response);
                     }
                 },
--- a/packages/gypsumstage-steering/src/__tests__/unit/traffic/heldResponses.test.ts
+++ b/packages/gypsumstage-steering/src/__tests__/unit/traffic/heldResponses.test.ts
@@ -41,13 +41,21 @@
 
 test("small responses are always received, and large ones one at a time once half of the memory is taken", () => {
     const reading = receiving(100_000, false);
-    assert.equal(isReceiptPaused(reading, [STEADY], 500_000, LIMIT_BYTES), false);
-    assert.equal(isReceiptPaused(reading, [STEADY], 600_000, LIMIT_BYTES), false);
-    assert.equal(isReceiptPaused(WAITING, [STEADY, reading], 600_000, LIMIT_BYTES), true);
-    assert.equal(isReceiptPaused(reading, [STEADY], 950_000, LIMIT_BYTES), true);
-    assert.equal(isReceiptPaused(receiving(1_000, false), [STEADY, reading], 999_000, LIMIT_BYTES), false);
+    assert.equal(isReceiptPaused(reading, [STEADY], 500_000, LIMIT_BYTES, NOW_MS), false);
+    assert.equal(isReceiptPaused(reading, [STEADY], 600_000, LIMIT_BYTES, NOW_MS), false);
+    assert.equal(isReceiptPaused(WAITING, [STEADY, reading], 600_000, LIMIT_BYTES, NOW_MS), true);
+    assert.equal(isReceiptPaused(reading, [STEADY], 950_000, LIMIT_BYTES, NOW_MS), true);
+    assert.equal(
+        isReceiptPaused(receiving(1_000, false), [STEADY, reading], 999_000, LIMIT_BYTES, NOW_MS),
+        false,
+    );
 });
 
 test("responses that only wait for each other do not wait for ever", () => {
-    assert.equal(isReceiptPaused(WAITING, [WAITING, WAITING], 950_000, LIMIT_BYTES), false);
+    assert.equal(isReceiptPaused(WAITING, [WAITING, WAITING], 950_000, LIMIT_BYTES, NOW_MS), false);
+});
+
+test("a response whose endpoint has stopped sending does not keep others waiting", () => {
+    const quiet = { ...receiving(100_000, false), progressAtMs: NOW_MS - 1_000 };
+    assert.equal(isReceiptPaused(WAITING, [STEADY, quiet], 600_000, LIMIT_BYTES, NOW_MS), false);
 });
