Bring the doc comments of request handling up to date

The comments of createAttemptSet, serveRequest, createRequestHandler, startAttempt and startInstance did not mention admission, usage caps, the trust in keys and the loads that endpoints state.

--- a/packages/gypsumstage-instance/src/request/Reply.ts
+++ b/packages/gypsumstage-instance/src/request/Reply.ts
@@ -21,7 +21,7 @@
     }
     /** The request may have run, or no response arrived in time. */
     | { readonly kind: "failed"; readonly reason: string; readonly isTimeout: boolean; }
-    /** The request exceeds a limit or matches no route: a retry fails in the same way. */
+    /** The request is malformed, exceeds a limit, matches no route or has an unknown key: a retry fails in the same way. */
     | { readonly kind: "rejected"; readonly reason: string; readonly status: number; }
     /** The caller has disconnected: nothing is sent. */
     | { readonly kind: "abandoned"; };
--- a/packages/gypsumstage-instance/src/request/createAttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/createAttemptSet.ts
@@ -24,11 +24,14 @@
 /**
  * Creates the empty set of attempts of one request. Each attempt goes to another endpoint. Endpoints in
  * regions that the shift limiter does not allow at the moment are chosen only if no allowed one can take the
- * request, and further candidates there not at all. A request to a rate-limited endpoint needs a permit; while it
- * is denied, other endpoints get the request. While this instance is cut off from the service, another instance
- * that reaches it gets the request.
+ * request, and further candidates there not at all. At a service with admission, the first attempt is held back while the
+ * chosen endpoint has too many requests in flight. An attempt needs a permit of the workspace's usage cap, and one of the
+ * endpoint if that is rate-limited; while the latter is denied, other endpoints get the request. Nothing is sent once the
+ * key of the request is not accepted any more, or while endpoints ended with the request in flight. While this instance
+ * is cut off from the service, another instance that reaches it gets the request; it takes the permits itself.
  *
- * @param ctx - provides the view, the typical latencies, the permits, the shift limiter and the retry budget
+ * @param ctx - provides the view, the state of endpoints, the permits, the usage caps, the trust in keys, the suspect
+ * requests, the admission, the relays, the shift limiter and the retry budget; its metrics are updated
  * @param req - the caller's request
  * @param route - the route that the request matched
  * @param service - the service that was chosen for the request
--- a/packages/gypsumstage-instance/src/request/createRequestHandler.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestHandler.ts
@@ -40,10 +40,12 @@
     reply.kind === "relayed" ? { ...reply, isEndStated: true } : reply;
 
 /**
- * Creates the handler of callers' requests: it reads the body, checks the request against the limits, matches
- * it to a route, serves it and writes the reply.
+ * Creates the handler of the requests of callers or of other instances: it checks the head, reads the body, checks the
+ * request against the limits, finds its route and workspace, serves it and writes the reply. Requests that get no
+ * response of an endpoint are logged.
  *
- * @param ctx - provides the view, the header codec, the metrics and the log; also passed on to `serveRequest`
+ * @param ctx - provides the view, the header codec, the memory of bodies and responses, the stop schedule, the metrics and
+ * the log; also passed on to `routeRequest` and `serveRequest`
  * @param phase - returns the current phase; requests are refused in `refusing`, and connections are closed
  * after the reply in every phase other than `serving`
  * @param sender - who sends the requests; those of instances state what their sender decided
--- a/packages/gypsumstage-instance/src/request/sendBody.ts
+++ b/packages/gypsumstage-instance/src/request/sendBody.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from "node:http";
 import type { ResponseMemory } from "../upstream/ResponseMemory.js";
 
-/** Bytes after each of which is known that the caller reads. */
+/** Size of the pieces in which a body is written; the completion of each write shows that the caller reads. */
 const PIECE_BYTES = 32_768;
 
 /**
--- a/packages/gypsumstage-instance/src/request/serveRequest.ts
+++ b/packages/gypsumstage-instance/src/request/serveRequest.ts
@@ -20,8 +20,10 @@
 
 /**
  * Serves a request: chooses a service and an endpoint, sends the request, retries or hedges it where that is
- * allowed, and returns the reply. A request that was sent and then fails or exceeds the target latency is
- * logged.
+ * allowed, and returns the reply. At a service with admission, the request may wait for a slot first. It is refused when
+ * the instance stops too soon for a response, when no attempt can be started, when the usage cap of its workspace is
+ * exhausted or when its key is not accepted any more. A request that was sent and then fails or exceeds the target latency
+ * is logged.
  *
  * @param ctx - dependencies that all requests share
  * @param req - the caller's request
--- a/packages/gypsumstage-instance/src/request/startAttempt.ts
+++ b/packages/gypsumstage-instance/src/request/startAttempt.ts
@@ -36,10 +36,12 @@
     || (outcome.kind === "aborted" && outcome.wasSent);
 
 /**
- * Sends a request to an endpoint. When the attempt finishes, classifies its outcome, updates the health of
- * the endpoint and the metrics, and logs a failure.
+ * Sends a request to an endpoint. When the attempt finishes, classifies its outcome, records what it shows of the
+ * endpoint (health, latency, stated load, rate limit, departure, reachability) and of the request as a suspect, updates
+ * the metrics, and logs a failure.
  *
- * @param ctx - provides the connection pool; its tracker, limiters, suspect requests, metrics and log are updated
+ * @param ctx - provides the connection pool and the header codec; its tracker, limiters, departures, reach monitor, suspect
+ * requests, metrics and log are updated
  * @param req - the caller's request
  * @param endpoint - the endpoint to which the request is sent
  * @param key - identifies the object, to record where its data are warm
--- a/packages/gypsumstage-instance/src/startCoordination.ts
+++ b/packages/gypsumstage-instance/src/startCoordination.ts
@@ -22,7 +22,7 @@
 
 /**
  * Starts what instances decide together about requests: the rate limits of endpoints with their permits, the endpoints that
- * are leaving, and the requests that end endpoints, which are spread as notices, and the usage caps of workspaces.
+ * are leaving and the requests that end endpoints, which are exchanged as notices, and the usage caps of workspaces.
  *
  * @param self - returns this instance as the others see it
  * @param peers - the reports of the other instances
--- a/packages/gypsumstage-instance/src/startInstance.ts
+++ b/packages/gypsumstage-instance/src/startInstance.ts
@@ -41,7 +41,8 @@
 const RPC_RESEND_AFTER_MS = 200;
 
 /**
- * Starts an instance: it forwards requests, serves lookups, follows the store and exchanges reports with peers.
+ * Starts an instance: it forwards requests, serves lookups, follows the store and exchanges reports with peers. It confirms
+ * its copy of the configuration, on which the trust in keys depends, and takes part in keeping usage caps.
  *
  * @param initialCfg - the settings until the first `reconfigure`
  * @param platform - the platform-specific parts; the store is closed with the instance
