Use more precise names in admission, usage caps and placement

A rule for services without admission, the windows of demand, loads per slot and the stamps of issuers get names that state what they hold. The reason for a clock allowance named a clock that is not read. The query of usage caps is documented to deny, as it never resolves to undefined.

--- a/packages/gypsumstage-instance/src/admission/createAdmission.ts
+++ b/packages/gypsumstage-instance/src/admission/createAdmission.ts
@@ -15,7 +15,7 @@
 const REFUSALS: ReadonlySet<string> = new Set(["queue-late", "queue-full"]);
 
 /** For requests that still wait when a configuration without admission for their service comes into force. */
-const EVEN_RULE: AdmissionRule = { mostUrgent: 0 };
+const FALLBACK_RULE: AdmissionRule = { mostUrgent: 0 };
 
 /** What admission uses of its instance. */
 interface AdmissionParts {
@@ -42,7 +42,7 @@
     const createQueue = (service: string): AdmissionQueue => {
         const logRefusal = createRefusalLog(service, parts.log);
         const queue = createAdmissionQueue({
-            rule: () => findRule(service) ?? EVEN_RULE,
+            rule: () => findRule(service) ?? FALLBACK_RULE,
             workMs: () => parts.workMs(service),
             stopSchedule: parts.stopSchedule,
             onEnd: (result, waitedMs) => {
--- a/packages/gypsumstage-instance/src/admission/createAdmissionQueue.ts
+++ b/packages/gypsumstage-instance/src/admission/createAdmissionQueue.ts
@@ -48,8 +48,8 @@
     const entries = new Map<QueuedRequest, QueueEntry>();
     const use = createRecentUse(USE_DECAY_MS);
     const starts = createRecentUse(START_RATE_DECAY_MS);
-    let isRunning = false;
-    let isWanted = false;
+    let isPassRunning = false;
+    let isRerunWanted = false;
     let timer: NodeJS.Timeout | undefined;
     const recordStart = (request: QueuedRequest, start: AttemptStart): void => {
         if (isStarted(start)) {
@@ -99,7 +99,7 @@
         );
         let ahead = 0;
         for (const request of ordered) {
-            if (isWanted) {
+            if (isRerunWanted) {
                 // A slot that became free during the pass is for the first in order.
                 return;
             }
@@ -129,16 +129,16 @@
         }
     };
     const wake = (): void => {
-        if (isRunning || entries.size === 0) {
-            isWanted = isRunning;
+        if (isPassRunning || entries.size === 0) {
+            isRerunWanted = isPassRunning;
             return;
         }
-        isRunning = true;
+        isPassRunning = true;
         clearTimeout(timer);
         void runPass().finally(() => {
-            isRunning = false;
-            if (isWanted) {
-                isWanted = false;
+            isPassRunning = false;
+            if (isRerunWanted) {
+                isRerunWanted = false;
                 wake();
             }
             else if (entries.size > 0) {
--- a/packages/gypsumstage-instance/src/admission/createRecentUse.ts
+++ b/packages/gypsumstage-instance/src/admission/createRecentUse.ts
@@ -2,8 +2,8 @@
 import type { DecayingCount } from "@gypsumstage/steering/traffic/DecayingCount";
 import { readDecayingCount } from "@gypsumstage/steering/traffic/readDecayingCount";
 
-/** Below this, a workspace is as one that has not used the service. */
-const NEGLIGIBLE = 0.01;
+/** Count below which a workspace is treated as one that has not used the service. */
+const NEGLIGIBLE_COUNT = 0.01;
 
 /** Recent starts by workspace. */
 interface RecentUse {
@@ -25,7 +25,7 @@
     const sweep = (): void => {
         sweptAtMs = monotonicNow();
         [...counts.keys()]
-            .filter(workspace => read(workspace) < NEGLIGIBLE)
+            .filter(workspace => read(workspace) < NEGLIGIBLE_COUNT)
             .forEach(workspace => counts.delete(workspace));
     };
     return {
--- a/packages/gypsumstage-instance/src/admission/createRefusalLog.ts
+++ b/packages/gypsumstage-instance/src/admission/createRefusalLog.ts
@@ -1,7 +1,7 @@
 import type { Log } from "@gypsumstage/shared/Log";
 import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 
-const INTERVAL_MS = 1_000;
+const LOG_INTERVAL_MS = 1_000;
 
 /**
  * Creates the log of refusals of waiting requests: at most one line a second, with what was refused since the last one.
@@ -15,7 +15,7 @@
     let loggedAtMs = -Infinity;
     return (reason, waiting) => {
         counts.set(reason, (counts.get(reason) ?? 0) + 1);
-        if (monotonicNow() - loggedAtMs >= INTERVAL_MS) {
+        if (monotonicNow() - loggedAtMs >= LOG_INTERVAL_MS) {
             loggedAtMs = monotonicNow();
             log("info", "queue-refusals", { service, waiting, refused: Object.fromEntries(counts) });
             counts = new Map();
--- a/packages/gypsumstage-instance/src/quota/createDemandCounter.ts
+++ b/packages/gypsumstage-instance/src/quota/createDemandCounter.ts
@@ -1,6 +1,6 @@
 /** Times over which demand is averaged: the short one follows a change, the long one has less noise at a low rate. */
-const SHORT_MS = 800;
-const LONG_MS = 15_000;
+const SHORT_WINDOW_MS = 800;
+const LONG_WINDOW_MS = 15_000;
 /** Requests within the short time, received or expected by the long average, at which both averages count the same. */
 const EVEN_WEIGHT_REQUESTS = 4;
 const MS_PER_SECOND = 1_000;
@@ -32,16 +32,16 @@
         const { short, long, atMs } = sums.get(workspace) ?? { short: 0, long: 0, atMs: nowMs };
         const elapsedMs = nowMs - atMs;
         return {
-            short: short * Math.exp(-elapsedMs / SHORT_MS),
-            long: long * Math.exp(-elapsedMs / LONG_MS),
+            short: short * Math.exp(-elapsedMs / SHORT_WINDOW_MS),
+            long: long * Math.exp(-elapsedMs / LONG_WINDOW_MS),
             atMs: nowMs,
         };
     };
     const getRate = (workspace: string, nowMs: number): number => {
         const { short, long } = decay(workspace, nowMs);
-        const requests = Math.max(short, long * SHORT_MS / LONG_MS);
+        const requests = Math.max(short, long * SHORT_WINDOW_MS / LONG_WINDOW_MS);
         const weight = requests / (requests + EVEN_WEIGHT_REQUESTS);
-        return MS_PER_SECOND * (weight * short / SHORT_MS + (1 - weight) * long / LONG_MS);
+        return MS_PER_SECOND * (weight * short / SHORT_WINDOW_MS + (1 - weight) * long / LONG_WINDOW_MS);
     };
     return {
         add: (workspace, requests, nowMs) => {
--- a/packages/gypsumstage-instance/src/quota/createInstanceQuota.ts
+++ b/packages/gypsumstage-instance/src/quota/createInstanceQuota.ts
@@ -177,7 +177,7 @@
             const params = vote === undefined ? {} : { vote };
             const res = await call(findDistributor(VOTE_GROUP), "quota.vote", params);
             if (res.ok && "issuerId" in res.value) {
-                voter.hear({ issuerId: res.value.issuerId, stampMs: res.value.stampMs }, now());
+                voter.recordStamp({ issuerId: res.value.issuerId, stampMs: res.value.stampMs }, now());
             }
         },
         divide: async () => {
--- a/packages/gypsumstage-instance/src/quota/createUsageCaps.ts
+++ b/packages/gypsumstage-instance/src/quota/createUsageCaps.ts
@@ -7,9 +7,9 @@
 import type { UsageCaps } from "./UsageCaps.js";
 import type { UsageDecision } from "./UsageDecision.js";
 
-/** Queries that one attempt may wait for: others may take what the first one brought. */
+/** Queries that one attempt may wait for, as other attempts may take the permits of the first one. */
 const MAX_QUERIES = 3;
-/** Time for which attempts are refused without a query after a denial, so that a caller's flood stays here. */
+/** Time for which attempts are refused without a query after a denial, so that a flood of requests causes no queries. */
 const MAX_DENIAL_MS = 100;
 /** Permits are fetched ahead for the attempts expected in this time, which is below their validity. */
 const PREFETCH_MS = 150;
@@ -48,7 +48,7 @@
     readonly name: string;
     /** Returns the cap of a workspace in the configuration in force; undefined when it has none, or no caps are enforced. */
     readonly findCap: (workspace: string) => UsageCap | undefined;
-    /** Requests permits; undefined when no distributor responds. Never rejects. */
+    /** Requests permits; denied when no distributor responds. Never rejects. */
     readonly query: (query: QuotaQuery) => Promise<QuotaGrant>;
     /** The lease clock. */
     readonly now: () => number;
--- a/packages/gypsumstage-instance/src/request/createLocalPrimaryShares.ts
+++ b/packages/gypsumstage-instance/src/request/createLocalPrimaryShares.ts
@@ -9,8 +9,8 @@
 
 /** Minimum time between two updates of a share. */
 const MIN_UPDATE_INTERVAL_MS = 500;
-/** Time over which the trend of the demand is taken: by so much the window in which it is counted delays it. */
-const TREND_MS = 5_000;
+/** Time over which the trend of the demand is taken; equal to the delay by the window in which demand is counted. */
+const TREND_WINDOW_MS = 5_000;
 
 interface RegionDemand {
     readonly local: number;
@@ -76,7 +76,7 @@
         }
         const loads = sideLoads(service);
         const demand = sumDemand(service);
-        const demands = [...previous.demands.filter(each => nowMs - each.atMs <= TREND_MS), {
+        const demands = [...previous.demands.filter(each => nowMs - each.atMs <= TREND_WINDOW_MS), {
             atMs: nowMs,
             demand,
         }];
--- a/packages/gypsumstage-steering/src/traffic/computeExpectedExcess.ts
+++ b/packages/gypsumstage-steering/src/traffic/computeExpectedExcess.ts
@@ -13,7 +13,7 @@
  * @param deviation - standard deviation of the value
  * @returns the expected excess, 0 or more
  */
-export const expectExcess = (mean: number, deviation: number): number => {
+export const computeExpectedExcess = (mean: number, deviation: number): number => {
     if (deviation < MIN_DEVIATION) {
         return Math.max(0, mean);
     }
--- a/packages/gypsumstage-steering/src/traffic/computeKeyTrustLimits.ts
+++ b/packages/gypsumstage-steering/src/traffic/computeKeyTrustLimits.ts
@@ -2,7 +2,7 @@
 
 /** Share of the bound by which two clocks may differ in rate. */
 const CLOCK_RATE_ERROR_SHARE = 0.02;
-/** The time since the machine's start is read in steps of 10 ms, at both ends. */
+/** Allowance for the resolution of the clocks at both readings. */
 const CLOCK_RESOLUTION_MS = 20;
 /** A read by the reader and a question to it add up to 0.34 of the bound, so that 0.6 are left without the store. */
 const MIN_INTERVAL_SHARE = 0.15;
--- a/packages/gypsumstage-steering/src/traffic/decideAdmission.ts
+++ b/packages/gypsumstage-steering/src/traffic/decideAdmission.ts
@@ -6,7 +6,7 @@
 const MAX_TRIES = 32;
 const MAX_WAITING = 200;
 /** Starts per second that are assumed at least, as at the start of an instance or while the service refuses all. */
-const MIN_STARTS_PER_S = 5;
+const MIN_STARTS_PER_SECOND = 5;
 const MS_PER_SECOND = 1_000;
 
 /** What a decision depends on beside the request. */
@@ -33,7 +33,7 @@
 export const decideAdmission = (request: AdmissionRequest, state: AdmissionState): AdmissionDecision => {
     const { ahead, startsPerSecond, workMs, nowMs, random } = state;
     const remainingMs = request.deadlineAtMs - nowMs;
-    const waitMs = ahead / Math.max(MIN_STARTS_PER_S, startsPerSecond) * MS_PER_SECOND;
+    const waitMs = ahead / Math.max(MIN_STARTS_PER_SECOND, startsPerSecond) * MS_PER_SECOND;
     const retryAfterMs = computeAdmissionRetryAfter(Math.max(0, remainingMs), waitMs, random);
     if (waitMs + workMs > remainingMs) {
         return { kind: "refuse", reason: "queue-late", retryAfterMs };
--- a/packages/gypsumstage-steering/src/traffic/placeByEstimate.ts
+++ b/packages/gypsumstage-steering/src/traffic/placeByEstimate.ts
@@ -1,5 +1,5 @@
+import { computeExpectedExcess } from "./computeExpectedExcess.js";
 import type { EstimatedCandidate } from "./EstimatedCandidate.js";
-import { expectExcess } from "./expectExcess.js";
 import type { Placement } from "./Placement.js";
 
 /**
@@ -50,8 +50,8 @@
 const rate = (candidate: EstimatedCandidate, loadPerSlot: number): RatedCandidate => {
     const { inFlight, deviation, slots, slowness, workMs, queueWorkMs } = candidate;
     const slotMs = queueWorkMs * slowness / slots;
-    const waitMs = expectExcess(inFlight + 1 - slots, deviation) * slotMs;
-    const freeSlots = expectExcess(slots - inFlight, deviation);
+    const waitMs = computeExpectedExcess(inFlight + 1 - slots, deviation) * slotMs;
+    const freeSlots = computeExpectedExcess(slots - inFlight, deviation);
     const ownMs = workMs * slowness * costFactor(candidate, loadPerSlot);
     const totalMs = waitMs + ownMs + candidate.roundTripMs;
     return {
--- a/packages/gypsumstage-steering/src/traffic/planLocalPrimaryShare.ts
+++ b/packages/gypsumstage-steering/src/traffic/planLocalPrimaryShare.ts
@@ -6,8 +6,8 @@
 /** Change per second while one side is overloaded: 0.04 in a window of the shift limit, a quarter of what that allows. */
 const FAST_CHANGE_PER_SECOND = 0.02;
 /** Requests per slot of a side from which objects are moved away from it, and least difference to the other side. */
-const HIGH_LOAD = 0.75;
-const MIN_LOAD_DIFFERENCE = 0.1;
+const HIGH_LOAD_PER_SLOT = 0.75;
+const MIN_LOAD_DIFFERENCE_PER_SLOT = 0.1;
 
 /**
  * Plans the share of a region's objects whose primary endpoint is in the region, while peaks move between the regions. The share
@@ -30,7 +30,7 @@
     const [left, entered] = fairShare < share
         ? [loads?.local ?? 0, loads?.elsewhere ?? 0]
         : [loads?.elsewhere ?? 0, loads?.local ?? 0];
-    const isNeeded = left >= HIGH_LOAD && left - entered >= MIN_LOAD_DIFFERENCE;
+    const isNeeded = left >= HIGH_LOAD_PER_SLOT && left - entered >= MIN_LOAD_DIFFERENCE_PER_SLOT;
     const changePerSecond = isNeeded ? FAST_CHANGE_PER_SECOND : SLOW_CHANGE_PER_SECOND;
     return stepTowards(share, fairShare, changePerSecond * elapsedMs / 1_000);
 };
--- a/packages/gypsumstage-steering/src/traffic/updateQuotaRoster.ts
+++ b/packages/gypsumstage-steering/src/traffic/updateQuotaRoster.ts
@@ -47,12 +47,12 @@
             forgotten.add(name);
         });
     }
-    const isAlone = isSmall(live.length, known);
+    const isInSmallPart = isSmall(live.length, known);
     const base = { liveAtMs, forgotten, updatedAtMs: nowMs };
     if (roster === undefined) {
         return { ...base, abstainsUntilMs: nowMs + START_ABSTENTION_MS, isNew: true };
     }
-    if (isAlone || nowMs - roster.updatedAtMs > PAUSE_MS) {
+    if (isInSmallPart || nowMs - roster.updatedAtMs > PAUSE_MS) {
         return { ...base, abstainsUntilMs: nowMs + ABSTENTION_MS, isNew: roster.isNew };
     }
     // During a split, the other side can't count a new instance.
