Split the choice of an endpoint from the set of attempts

The choice among the regions that the shift limiter allows and the reason for the lack of an endpoint need none of its state, so they become functions of their own.

--- a/packages/gypsumstage-instance/src/request/createAttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/createAttemptSet.ts
@@ -8,8 +8,9 @@
 import type { AttemptSet } from "./AttemptSet.js";
 import type { AttemptStart } from "./AttemptStart.js";
 import type { CallerRequest } from "./CallerRequest.js";
-import { choosePlacement } from "./choosePlacement.js";
+import { chooseAllowedPlacement } from "./chooseAllowedPlacement.js";
 import { createRoomCheck } from "./createRoomCheck.js";
+import { explainNoEndpoint } from "./explainNoEndpoint.js";
 import { isStarted } from "./isStarted.js";
 import { listPlacementCandidates } from "./listPlacementCandidates.js";
 import type { PlacementTrace } from "./PlacementTrace.js";
@@ -19,7 +20,6 @@
 
 /** Permits that one attempt may wait for: one for each of its few candidate endpoints. */
 const MAX_PERMITS = 3;
-const MIN_RETRY_AFTER_MS = 100;
 
 /**
  * Creates the empty set of attempts of one request. Each attempt goes to another endpoint. Endpoints in
@@ -78,18 +78,8 @@
             }
         }
     };
-    const chooseAllowed = (candidates: readonly PlacementCandidate[]): Placement => {
-        const typicalMs = ctx.tracker.typicalMs(service, route.targetLatencyMs);
-        const remainingMs = deadlineAtMs - monotonicNow();
-        const regions = new Set(candidates.map(candidate => candidate.region));
-        const allowedRegions = new Set([...regions].filter(ctx.regionShiftLimiter.allows));
-        const allowed = candidates.filter(candidate => allowedRegions.has(candidate.region));
-        const placement = choosePlacement(allowed, typicalMs, remainingMs);
-        const usual = candidates.filter(candidate =>
-            allowedRegions.has(candidate.region) || !("isFurther" in candidate && candidate.isFurther)
-        );
-        return placement.kind === "placed" ? placement : choosePlacement(usual, typicalMs, remainingMs);
-    };
+    const chooseAllowed = (candidates: readonly PlacementCandidate[]): Placement =>
+        chooseAllowedPlacement(ctx, route, service, candidates, deadlineAtMs);
     const chooseFirst = (candidates: readonly PlacementCandidate[]): Placement =>
         holdBackPlacement(
             chooseAllowed(candidates),
@@ -121,21 +111,6 @@
         sent += 1;
         return true;
     };
-    const explainNoEndpoint = (): AttemptStart => {
-        const nowMs = monotonicNow();
-        const waitsMs = (ctx.view().endpointsByService.get(service) ?? [])
-            .filter(endpoint => !tried.has(endpoint.id))
-            .map(endpoint =>
-                Math.max(
-                    ctx.permits.deniedForMs(endpoint),
-                    ctx.tracker.health(endpoint.id).pausedUntilMs - nowMs,
-                )
-            )
-            .filter(waitMs => waitMs > 0);
-        return waitsMs.length === 0
-            ? { kind: "no-endpoint" }
-            : { kind: "rate-limited", retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.min(...waitsMs)) };
-    };
     const takePermit = async (placement: Placement): Promise<boolean> => {
         const endpoint = placement.kind === "placed" ? ctx.view().endpoints.get(placement.id) : undefined;
         return endpoint === undefined || ctx.permits.take(endpoint);
@@ -177,7 +152,7 @@
             const placement = tried.size === 0 ? chooseFirst(candidates) : chooseAllowed(candidates);
             if (placement.kind !== "placed") {
                 roomCheck.record(candidates);
-                return placement.kind === "no-endpoint" ? explainNoEndpoint() : placement;
+                return placement.kind === "no-endpoint" ? explainNoEndpoint(ctx, service, tried) : placement;
             }
             const isPermitted = await takePermit(placement);
             if (isAborted) {
@@ -187,7 +162,7 @@
                 return placement;
             }
         }
-        return explainNoEndpoint();
+        return explainNoEndpoint(ctx, service, tried);
     };
     const startAnywhere = async (): Promise<AttemptStart> => {
         const verdict = ctx.suspects.judge(req.fingerprint, tried.size > 0);
