Shorten and correct comments of placement, response memory and usage caps

The comment of chooseResponseToCut now states when a caller is cut off and what follows when the memory is full.

--- a/packages/gypsumstage-instance/src/admission/createAdmissionQueue.ts
+++ b/packages/gypsumstage-instance/src/admission/createAdmissionQueue.ts
@@ -13,7 +13,7 @@
 /** Slots that other instances free are known from their reports only, so waiting requests are tried at this interval. */
 const RETRY_INTERVAL_MS = 30;
 const START_RATE_DECAY_MS = 2_000;
-/** Long enough that a workspace with few requests per second and instance is told from one without any. */
+/** Long enough to distinguish a workspace with few requests per second at this instance from one without any. */
 const USE_DECAY_MS = 10_000;
 const MS_PER_SECOND = 1_000;
 /** Other instances serve at once. */
--- a/packages/gypsumstage-instance/src/quota/createQuotaDistributor.ts
+++ b/packages/gypsumstage-instance/src/quota/createQuotaDistributor.ts
@@ -23,7 +23,7 @@
 /** Time for which an instance counts among those that share the permits at hand. */
 const HOLDER_WINDOW_MS = 1_000;
 
-/** What one workspace has at the distributor. */
+/** The permits of one workspace at the distributor. */
 interface Account {
     readonly bucket: QuotaBucket;
     /** When the permits that were promised to refused attempts are used up. */
--- a/packages/gypsumstage-instance/src/request/writeReply.ts
+++ b/packages/gypsumstage-instance/src/request/writeReply.ts
@@ -11,8 +11,8 @@
 const MS_PER_SECOND = 1_000;
 
 /**
- * Lets only the end of the connection end the body, as at the endpoint: the caller is not told of a length that the endpoint did
- * not state.
+ * Ends the body by the end of the connection, as the endpoint did: the reply states no length that the endpoint did not
+ * state.
  */
 const endWithConnection = (res: ServerResponse): void => {
     res.useChunkedEncodingByDefault = false;
--- a/packages/gypsumstage-instance/src/startCoordination.ts
+++ b/packages/gypsumstage-instance/src/startCoordination.ts
@@ -27,7 +27,7 @@
  * @param self - returns this instance as the others see it
  * @param peers - the reports of the other instances
  * @param view - returns the current fleet view
- * @param tracker - is told which endpoints are leaving
+ * @param tracker - receives the events of endpoints that are leaving
  * @param rpc - client for RPC calls to other instances
  * @param metrics - counts granted and denied permits of endpoints and workspaces
  * @param log - receives the events of all parts
--- a/packages/gypsumstage-steering/src/traffic/chooseResponseToCut.ts
+++ b/packages/gypsumstage-steering/src/traffic/chooseResponseToCut.ts
@@ -9,10 +9,11 @@
 ): Response | undefined => [...responses].sort((left, right) => rank(left) - rank(right))[0];
 
 /**
- * Chooses the response that gives up its memory. Workload: callers that read large responses slowly or not at all, beside others.
- * While responses wait to be received, only a caller that has taken nothing for some seconds is cut off, the one that has been idle
- * longest. When the memory is full, a response that is being received comes next, as its caller has got nothing of it yet and it may
- * be sent again; the caller that has been idle longest is the last resort.
+ * Chooses the response whose memory is freed. Workload: callers that read large responses slowly or not at all, beside
+ * others. While a response waits to be received or the memory is full, the caller that has been idle longest is cut off if it
+ * has taken nothing for some seconds. If there is no such caller and the memory is full, the largest response that is being
+ * received is aborted, as its caller has got nothing of it yet and a safe request is sent again. If none is being received,
+ * the caller that has been idle longest is cut off.
  *
  * @param responses - all responses that are held
  * @param usedBytes - memory that they take
--- a/packages/gypsumstage-steering/src/traffic/isReceiptPaused.ts
+++ b/packages/gypsumstage-steering/src/traffic/isReceiptPaused.ts
@@ -10,8 +10,9 @@
 const NONE_SHARE = 0.9;
 
 /**
- * Decides whether reading a response from its endpoint pauses. Workload: large responses whose callers read slowly. Small responses
- * go on, so that other callers are served; of the large ones, one goes on as long as there is room, so that they don't block each other.
+ * Decides whether reading a response from its endpoint pauses. Workload: large responses whose callers read slowly. Small
+ * responses go on, so that other callers are served. Of the large ones, one goes on as long as there is room, so that they
+ * don't block each other.
  *
  * @param response - the response, which is being received
  * @param held - all responses that are held
--- a/packages/gypsumstage-steering/src/traffic/placeByEstimate.ts
+++ b/packages/gypsumstage-steering/src/traffic/placeByEstimate.ts
@@ -3,9 +3,9 @@
 import type { Placement } from "./Placement.js";
 
 /**
- * Cost of a request on cold data beyond that on warm data, relative to the latter, where the candidates have as many requests
- * as slots. It takes 2.3 times longer, and the time that it holds a slot is taken from others, the more the fuller the endpoints are. At
- * further endpoints it also evicts the data of other objects.
+ * Cost of a request on cold data beyond that on warm data, relative to the latter, where the candidates have as many
+ * requests as slots. Such a request takes 2.3 times longer, and the fuller the endpoints are, the more it delays others.
+ * At further endpoints it also evicts the data of other objects.
  */
 const COLD_PRIMARY_SIDE_COST = 3;
 const COLD_COST = 6;
@@ -16,15 +16,18 @@
 const MAX_COLD_QUEUE_FACTOR = 1;
 const MIN_RETRY_AFTER_MS = 100;
 /**
- * Weight of the slots that become free within the age of the figures: what follows from a choice is seen in figures that are as old
- * again.
+ * Weight of the slots that become free within the age of the figures. The effect of a choice shows only in later figures,
+ * which have the same age again.
  */
 const TURNOVER_WEIGHT = 2;
 /** Further candidates among which a request chooses; more of them would evict the data of more objects. */
 const FURTHER_CHOICES = 2;
 /** Deviations by which two costs may differ to be taken for equal. */
 const CLOSE_DEVIATIONS = 2;
-/** Work by which a candidate may exceed the best one: work on cold data, or at an endpoint that is slow at the moment, is certain to take longer. */
+/**
+ * Factor by which the work at a candidate may exceed that at the best one. Work on cold data, or at an endpoint that is slow
+ * at the moment, is certain to take longer.
+ */
 const CLOSE_WORK_FACTOR = 1.5;
 
 interface RatedCandidate {
@@ -83,11 +86,11 @@
 };
 
 /**
- * Chooses among candidates whose load is estimated from figures of some age, as many instances do at the same time by the
- * same figures. If all chose the best one, they would overload it until the next figure. So of the candidates whose expected
- * finish differs by less than the figures are uncertain, two are drawn in proportion to the slots that are likely free, and
- * the better one is chosen. The object's usual candidates come first, as work on warm data takes a fraction of the time; a further one is used in place of a
- * refusal, or of a wait that costs more than work on cold data and what that evicts.
+ * Chooses among candidates whose load is estimated from figures of some age. Many instances choose by the same figures at
+ * the same time; if all chose the best candidate, they would overload it until the next figure. So two of the candidates
+ * whose costs differ by less than the uncertainty of the figures are drawn in proportion to the slots that are likely free,
+ * and the better one is chosen. The object's usual candidates come first, as work on warm data takes a fraction of the time.
+ * A further one is used in place of a refusal, or of a wait that costs more than work on cold data and the eviction.
  *
  * @param candidates - the candidates in the order of preference
  * @param remainingMs - time until the deadline, in milliseconds
--- a/packages/gypsumstage-steering/src/traffic/planLocalPrimaryShare.ts
+++ b/packages/gypsumstage-steering/src/traffic/planLocalPrimaryShare.ts
@@ -10,13 +10,13 @@
 const MIN_LOAD_DIFFERENCE_PER_SLOT = 0.1;
 
 /**
- * Plans the share of a region's objects whose primary endpoint is in the region, while peaks move between the regions. The share
- * that the demand calls for is approached quickly only where the stated loads show the same need: the side that objects
- * are to leave is nearly full, and the other one is less so. The demand does not change when objects move, so the plan does not
- * swing; and moving objects costs work on cold data, so it is left where no side is full.
+ * Plans the share of a region's objects whose primary endpoint is in the region, while peaks move between the regions. The
+ * share that follows from the demand is approached quickly only where the stated loads show the same need: the side that
+ * objects are to leave is nearly full, and the other one is less so. The demand does not change when objects move, so the
+ * share does not oscillate. Moving objects causes work on cold data, so the share changes slowly while no side is full.
  *
  * @param share - the share so far
- * @param fairShare - the share that the demand calls for
+ * @param fairShare - the share that follows from the demand
  * @param loads - the load on both sides; undefined while it is not known
  * @param elapsedMs - time since the share was last changed
  * @returns the next share
--- a/packages/gypsumstage-steering/src/traffic/sumQuotaVotes.ts
+++ b/packages/gypsumstage-steering/src/traffic/sumQuotaVotes.ts
@@ -4,7 +4,7 @@
 /**
  * Sums what an issuer may grant: the votes that stay valid for longer than the shares that it grants now. An instance lends
  * its part to one issuer at a time, so the sums of several issuers together stay below 1, whatever each believes. Each part counts
- * as that of the voter that knows the most instances, as the others may not have heard of a new one yet.
+ * as that of the voter that knows the most instances, as the others may not know of a new one yet.
  *
  * @param votes - the latest vote of each instance
  * @param sharesUntilMs - when the shares that are granted now end, on the issuer's lease clock
--- a/packages/gypsumstage-steering/src/traffic/updateQuotaRoster.ts
+++ b/packages/gypsumstage-steering/src/traffic/updateQuotaRoster.ts
@@ -1,6 +1,6 @@
 import type { QuotaRoster } from "./QuotaRoster.js";
 
-/** Longer than news of an instance take to reach all others and their next votes to reach the issuer. */
+/** Longer than the record of an instance takes to reach all others, and their next votes to reach the issuer. */
 const ABSTENTION_MS = 4_000;
 /** At the start: until the instances that start at the same time have found each other. */
 const START_ABSTENTION_MS = 2_000;
