Split the trace of a placement from the set of attempts

createAttemptSet loses another block that needs none of its state. The trace is documented to contain estimated requests in flight where endpoints state their load.

--- a/packages/gypsumstage-instance/src/request/PlacementTrace.ts
+++ b/packages/gypsumstage-instance/src/request/PlacementTrace.ts
@@ -5,7 +5,7 @@
     readonly afterMs: number;
     /** Expected cost in time by which the endpoint was chosen; it includes the costs of cold data and of errors. */
     readonly expectedMs: number;
-    /** Requests in flight at the endpoint: this instance's, and the other instances' latest reported ones. */
+    /** Requests in flight at the endpoint: this instance's, and those of the others as reported or as estimated by the stated load. */
     readonly inFlight: number;
     readonly slots: number;
     readonly isWarm: boolean;
--- a/packages/gypsumstage-instance/src/request/createAttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/createAttemptSet.ts
@@ -9,6 +9,7 @@
 import type { AttemptStart } from "./AttemptStart.js";
 import type { CallerRequest } from "./CallerRequest.js";
 import { chooseAllowedPlacement } from "./chooseAllowedPlacement.js";
+import { createPlacementTrace } from "./createPlacementTrace.js";
 import { createRoomCheck } from "./createRoomCheck.js";
 import { explainNoEndpoint } from "./explainNoEndpoint.js";
 import { isStarted } from "./isStarted.js";
@@ -64,15 +65,7 @@
             ? candidates.find(each => each.id === placement.id)
             : undefined;
         if (placement.kind === "placed" && candidate !== undefined) {
-            placements.push({
-                endpoint: candidate.id,
-                afterMs: Math.round(monotonicNow() - req.arrivedAtMs),
-                expectedMs: Math.round(placement.expectedMs),
-                inFlight: candidate.inFlight,
-                slots: candidate.slots,
-                isWarm: candidate.isWarm,
-                slowness: Number(candidate.slowness.toFixed(2)),
-            });
+            placements.push(createPlacementTrace(candidate, placement.expectedMs, req.arrivedAtMs));
             if ("isFurther" in candidate) {
                 ctx.metrics.countPlacement(service, candidate.isFurther ? "further" : "usual");
             }
