--- a/packages/gypsumstage-instance/src/request/createAttemptSet.ts
+++ b/packages/gypsumstage-instance/src/request/createAttemptSet.ts
@@ -8,8 +8,10 @@
 import type { AttemptSet } from "./AttemptSet.js";
 import type { AttemptStart } from "./AttemptStart.js";
 import type { CallerRequest } from "./CallerRequest.js";
-import { choosePlacement } from "./choosePlacement.js";
+import { chooseAllowedPlacement } from "./chooseAllowedPlacement.js";
+import { createPlacementTrace } from "./createPlacementTrace.js";
 import { createRoomCheck } from "./createRoomCheck.js";
+import { explainNoEndpoint } from "./explainNoEndpoint.js";
 import { isStarted } from "./isStarted.js";
 import { listPlacementCandidates } from "./listPlacementCandidates.js";
 import type { PlacementTrace } from "./PlacementTrace.js";
@@ -19,16 +21,18 @@
 
 /** Permits that one attempt may wait for: one for each of its few candidate endpoints. */
 const MAX_PERMITS = 3;
-const MIN_RETRY_AFTER_MS = 100;
 
 /**
  * Creates the empty set of attempts of one request. Each attempt goes to another endpoint. Endpoints in
  * regions that the shift limiter does not allow at the moment are chosen only if no allowed one can take the
- * request, and further candidates there not at all. A request to a rate-limited endpoint needs a permit; while it
- * is denied, other endpoints get the request. While this instance is cut off from the service, another instance
- * that reaches it gets the request.
+ * request, and further candidates there not at all. At a service with admission, the first attempt is held back while the
+ * chosen endpoint has too many requests in flight. An attempt needs a permit of the workspace's usage cap, and one of the
+ * endpoint if that is rate-limited; while the latter is denied, other endpoints get the request. Nothing is sent once the
+ * key of the request is not accepted any more, or while endpoints ended with the request in flight. While this instance
+ * is cut off from the service, another instance that reaches it gets the request; it takes the permits itself.
  *
- * @param ctx - provides the view, the typical latencies, the permits, the shift limiter and the retry budget
+ * @param ctx - provides the view, the state of endpoints, the permits, the usage caps, the trust in keys, the suspect
+ * requests, the admission, the relays, the shift limiter and the retry budget; its metrics are updated
  * @param req - the caller's request
  * @param route - the route that the request matched
  * @param service - the service that was chosen for the request
@@ -61,32 +65,14 @@
             ? candidates.find(each => each.id === placement.id)
             : undefined;
         if (placement.kind === "placed" && candidate !== undefined) {
-            placements.push({
-                endpoint: candidate.id,
-                afterMs: Math.round(monotonicNow() - req.arrivedAtMs),
-                expectedMs: Math.round(placement.expectedMs),
-                inFlight: candidate.inFlight,
-                slots: candidate.slots,
-                isWarm: candidate.isWarm,
-                slowness: Number(candidate.slowness.toFixed(2)),
-            });
+            placements.push(createPlacementTrace(candidate, placement.expectedMs, req.arrivedAtMs));
             if ("isFurther" in candidate) {
                 ctx.metrics.countPlacement(service, candidate.isFurther ? "further" : "usual");
             }
         }
     };
-    const chooseAllowed = (candidates: readonly PlacementCandidate[]): Placement => {
-        const typicalMs = ctx.tracker.typicalMs(service, route.targetLatencyMs);
-        const remainingMs = deadlineAtMs - monotonicNow();
-        const regions = new Set(candidates.map(candidate => candidate.region));
-        const allowedRegions = new Set([...regions].filter(ctx.regionShiftLimiter.allows));
-        const allowed = candidates.filter(candidate => allowedRegions.has(candidate.region));
-        const placement = choosePlacement(allowed, typicalMs, remainingMs);
-        const usual = candidates.filter(candidate =>
-            allowedRegions.has(candidate.region) || !("isFurther" in candidate && candidate.isFurther)
-        );
-        return placement.kind === "placed" ? placement : choosePlacement(usual, typicalMs, remainingMs);
-    };
+    const chooseAllowed = (candidates: readonly PlacementCandidate[]): Placement =>
+        chooseAllowedPlacement(ctx, route, service, candidates, deadlineAtMs);
     const chooseFirst = (candidates: readonly PlacementCandidate[]): Placement =>
         holdBackPlacement(
             chooseAllowed(candidates),
@@ -118,21 +104,6 @@
         sent += 1;
         return true;
     };
-    const explainNoEndpoint = (): AttemptStart => {
-        const nowMs = monotonicNow();
-        const waitsMs = (ctx.view().endpointsByService.get(service) ?? [])
-            .filter(endpoint => !tried.has(endpoint.id))
-            .map(endpoint =>
-                Math.max(
-                    ctx.permits.deniedForMs(endpoint),
-                    ctx.tracker.health(endpoint.id).pausedUntilMs - nowMs,
-                )
-            )
-            .filter(waitMs => waitMs > 0);
-        return waitsMs.length === 0
-            ? { kind: "no-endpoint" }
-            : { kind: "rate-limited", retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.min(...waitsMs)) };
-    };
     const takePermit = async (placement: Placement): Promise<boolean> => {
         const endpoint = placement.kind === "placed" ? ctx.view().endpoints.get(placement.id) : undefined;
         return endpoint === undefined || ctx.permits.take(endpoint);
@@ -174,7 +145,7 @@
             const placement = tried.size === 0 ? chooseFirst(candidates) : chooseAllowed(candidates);
             if (placement.kind !== "placed") {
                 roomCheck.record(candidates);
-                return placement.kind === "no-endpoint" ? explainNoEndpoint() : placement;
+                return placement.kind === "no-endpoint" ? explainNoEndpoint(ctx, service, tried) : placement;
             }
             const isPermitted = await takePermit(placement);
             if (isAborted) {
@@ -184,7 +155,7 @@
                 return placement;
             }
         }
-        return explainNoEndpoint();
+        return explainNoEndpoint(ctx, service, tried);
     };
     const startAnywhere = async (): Promise<AttemptStart> => {
         const verdict = ctx.suspects.judge(req.fingerprint, tried.size > 0);
--- a/packages/gypsumstage-instance/src/startCoordination.ts
+++ b/packages/gypsumstage-instance/src/startCoordination.ts
@@ -22,12 +22,12 @@
 
 /**
  * Starts what instances decide together about requests: the rate limits of endpoints with their permits, the endpoints that
- * are leaving, and the requests that end endpoints, which are spread as notices, and the usage caps of workspaces.
+ * are leaving and the requests that end endpoints, which are exchanged as notices, and the usage caps of workspaces.
  *
  * @param self - returns this instance as the others see it
  * @param peers - the reports of the other instances
  * @param view - returns the current fleet view
- * @param tracker - is told which endpoints are leaving
+ * @param tracker - receives the events of endpoints that are leaving
  * @param rpc - client for RPC calls to other instances
  * @param metrics - counts granted and denied permits of endpoints and workspaces
  * @param log - receives the events of all parts
--- a/packages/gypsumstage-steering/src/traffic/updateQuotaRoster.ts
+++ b/packages/gypsumstage-steering/src/traffic/updateQuotaRoster.ts
@@ -1,6 +1,6 @@
 import type { QuotaRoster } from "./QuotaRoster.js";
 
-/** Longer than news of an instance take to reach all others and their next votes to reach the issuer. */
+/** Longer than the record of an instance takes to reach all others, and their next votes to reach the issuer. */
 const ABSTENTION_MS = 4_000;
 /** At the start: until the instances that start at the same time have found each other. */
 const START_ABSTENTION_MS = 2_000;
@@ -47,12 +47,12 @@
             forgotten.add(name);
         });
     }
-    const isAlone = isSmall(live.length, known);
+    const isInSmallPart = isSmall(live.length, known);
     const base = { liveAtMs, forgotten, updatedAtMs: nowMs };
     if (roster === undefined) {
         return { ...base, abstainsUntilMs: nowMs + START_ABSTENTION_MS, isNew: true };
     }
-    if (isAlone || nowMs - roster.updatedAtMs > PAUSE_MS) {
+    if (isInSmallPart || nowMs - roster.updatedAtMs > PAUSE_MS) {
         return { ...base, abstainsUntilMs: nowMs + ABSTENTION_MS, isNew: roster.isNew };
     }
     // During a split, the other side can't count a new instance.
