Split the records of announcements and rate limits from startAttempt

What an endpoint states of itself in a response is recorded by two functions of their own, in the same order as before.

--- a/packages/gypsumstage-instance/src/request/startAttempt.ts
+++ b/packages/gypsumstage-instance/src/request/startAttempt.ts
@@ -6,6 +6,8 @@
 import type { AttemptOutcome } from "../upstream/AttemptOutcome.js";
 import type { CallerRequest } from "./CallerRequest.js";
 import type { FinishedAttempt } from "./FinishedAttempt.js";
+import { recordAnnouncements } from "./recordAnnouncements.js";
+import { recordRateLimit } from "./recordRateLimit.js";
 import type { RequestContext } from "./RequestContext.js";
 import type { RunningAttempt } from "./RunningAttempt.js";
 
@@ -105,36 +107,6 @@
             }
         }
     };
-    /** Records the load that the endpoint states, whether it says that it is leaving, and whether it wants no requests for some time. */
-    const recordAnnouncements = (outcome: AttemptOutcome, classification: AttemptClassification): void => {
-        const isReassigned = classification.kind === "not-run" && classification.reason === "other-endpoint";
-        if (outcome.kind !== "answered" || isReassigned) {
-            return;
-        }
-        const load = ctx.headerCodec.readLoad(outcome.headers);
-        if (load !== undefined) {
-            tracker.loads.observe(endpoint.id, load);
-        }
-        if (ctx.headerCodec.readLeaving(outcome.headers)) {
-            ctx.departures.observe(endpoint);
-        }
-        const pauseMs = ctx.headerCodec.readPauseMs(outcome.status, outcome.headers);
-        if (pauseMs !== undefined) {
-            tracker.recordHealthEvent(endpoint.id, { kind: "paused", untilMs: monotonicNow() + pauseMs });
-        }
-    };
-    const recordRateLimit = (outcome: AttemptOutcome, classification: AttemptClassification): void => {
-        const isFromEndpoint = classification.kind === "final"
-            || (classification.kind === "not-run" && classification.reason !== "other-endpoint");
-        if (outcome.kind !== "answered" || !isFromEndpoint) {
-            return;
-        }
-        const ratePerSecond = ctx.headerCodec.readRateLimit(outcome.headers);
-        // A refusal may be sent before the request reaches the part of the endpoint that states the limit.
-        if (ratePerSecond !== undefined || classification.kind === "final") {
-            ctx.rateLimits.observe(endpoint, ratePerSecond);
-        }
-    };
     const recordSuspect = (outcome: AttemptOutcome, classification: AttemptClassification): void => {
         const isReassigned = classification.kind === "not-run" && classification.reason === "other-endpoint";
         if (outcome.kind === "answered" && !isReassigned) {
@@ -158,8 +130,8 @@
         ctx.reach.recordOutcome(endpoint, outcome);
         const classification = classifyOutcome(ctx, req, outcome);
         recordHealth(outcome, classification);
-        recordAnnouncements(outcome, classification);
-        recordRateLimit(outcome, classification);
+        recordAnnouncements(ctx, endpoint, outcome, classification);
+        recordRateLimit(ctx, endpoint, outcome, classification);
         recordSuspect(outcome, classification);
         ctx.metrics.recordAttempt(endpoint.service, classification.kind, monotonicNow() - startedAtMs);
         if (classification.kind !== "final" && outcome.kind !== "aborted") {
