Add permits for monotonic time only, cut callers that pipeline, and skip loads without slots

A response that waits behind another one on its connection had no socket to reset. A peer's report could state no slots. Refusals after which another instance may serve at once are no longer delayed.

--- a/packages/gypsumstage-instance/src/__tests__/unit/createQuotaModel.ts
+++ b/packages/gypsumstage-instance/src/__tests__/unit/createQuotaModel.ts
@@ -197,6 +197,7 @@
                 return Promise.race([exchange(), timeout]);
             },
             now: () => offsetMs + nowMs * clockRate,
+            monotonic: () => offsetMs + nowMs * clockRate,
             random,
             onDecision: () => undefined,
             log: () => undefined,
--- a/packages/gypsumstage-instance/src/quota/createInstanceQuota.ts
+++ b/packages/gypsumstage-instance/src/quota/createInstanceQuota.ts
@@ -44,6 +44,7 @@
     readonly call: Call;
     /** The lease clock. */
     readonly now: () => number;
+    readonly monotonic: () => number;
     readonly random: () => number;
     readonly onDecision: (workspace: string, result: "granted" | "exceeded") => void;
     readonly log: Log;
@@ -97,6 +98,7 @@
                 index.find,
                 () => index.list(group),
                 now,
+                deps.monotonic,
                 deps.random,
             ),
     );
--- a/packages/gypsumstage-instance/src/quota/createQuotaDistributor.ts
+++ b/packages/gypsumstage-instance/src/quota/createQuotaDistributor.ts
@@ -42,6 +42,7 @@
  * @param findCap - returns the cap of a workspace in the configuration in force; undefined when it has none
  * @param listCaps - returns the caps of the group
  * @param now - the lease clock
+ * @param monotonic - the monotonic clock
  * @param random - returns a random number from 0 to below 1
  * @returns the distributor, which has no shares
  */
@@ -52,6 +53,7 @@
     findCap: (workspace: string) => UsageCap | undefined,
     listCaps: () => readonly UsageCap[],
     now: () => number,
+    monotonic: () => number,
     random: () => number,
 ): QuotaDistributor => {
     const accounts = new Map<string, Account>();
@@ -79,7 +81,7 @@
             const nowMs = now();
             const account = getAccount(cap.name);
             const budget = getBudget(cap);
-            const bucket = refillQuotaBucket(account.bucket, budget, nowMs);
+            const bucket = refillQuotaBucket(account.bucket, budget, nowMs, monotonic());
             const recent = [...account.holders].filter(([, atMs]) => nowMs - atMs < HOLDER_WINDOW_MS);
             const holders = new Map([...recent, [holder, nowMs] as const]);
             demand.add(cap.name, attempts, nowMs);
@@ -143,7 +145,14 @@
                 const account = getAccount(workspace);
                 const share = shares.shares[workspace] ?? shares.evenShare;
                 const untilMs = sentAtMs + QUOTA_SHARE_VALIDITY_MS;
-                const bucket = setQuotaShare(account.bucket, getBudget(cap), share, untilMs, nowMs);
+                const bucket = setQuotaShare(
+                    account.bucket,
+                    getBudget(cap),
+                    share,
+                    untilMs,
+                    nowMs,
+                    monotonic(),
+                );
                 accounts.set(workspace, { ...account, bucket });
             }
         },
--- a/packages/gypsumstage-instance/src/quota/startUsageCaps.ts
+++ b/packages/gypsumstage-instance/src/quota/startUsageCaps.ts
@@ -2,6 +2,7 @@
 import { createUniqueId } from "@gypsumstage/shared/createUniqueId";
 import { describeError } from "@gypsumstage/shared/describeError";
 import type { Log } from "@gypsumstage/shared/Log";
+import { monotonicNow } from "@gypsumstage/shared/monotonicNow";
 import { startPeriodicTask } from "@gypsumstage/shared/startPeriodicTask";
 import type { FleetView } from "@gypsumstage/steering/traffic/FleetView";
 import type { QuotaBounds } from "@gypsumstage/steering/traffic/QuotaBounds";
@@ -67,6 +68,7 @@
         bounds: () => self().quota,
         call: (instance, method, query) => rpc.call(instance.internalAddress, method, query),
         now,
+        monotonic: monotonicNow,
         random: Math.random,
         onDecision: (workspace, result) => {
             metrics.countUsage(result);
--- a/packages/gypsumstage-instance/src/request/sendBody.ts
+++ b/packages/gypsumstage-instance/src/request/sendBody.ts
@@ -13,9 +13,10 @@
  * @param memory - memory that all responses share
  */
 export const sendBody = (res: ServerResponse, body: Buffer, memory: Pick<ResponseMemory, "hold">): void => {
-    const { socket } = res;
+    // `res.socket` is not set yet for a response that waits behind another one on its connection.
+    const { socket } = res.req;
     const reservation = memory.hold(body.length, () => {
-        socket?.resetAndDestroy();
+        socket.resetAndDestroy();
     });
     res.once("finish", reservation.close);
     res.once("close", reservation.close);
--- a/packages/gypsumstage-instance/src/request/spreadRefusal.ts
+++ b/packages/gypsumstage-instance/src/request/spreadRefusal.ts
@@ -12,6 +12,8 @@
     "no-endpoint",
     "ends-endpoints",
     "over-cap",
+    "key-unconfirmed",
+    "policy-behind",
 ]);
 
 /**
--- a/packages/gypsumstage-instance/src/upstream/createEndpointLoads.ts
+++ b/packages/gypsumstage-instance/src/upstream/createEndpointLoads.ts
@@ -12,7 +12,8 @@
 
 const isReportedLoad = (value: unknown): value is ReportedLoad =>
     Array.isArray(value) && value.length === 5
-    && value.every(each => typeof each === "number" && Number.isFinite(each) && each >= 0);
+    && value.every(each => typeof each === "number" && Number.isFinite(each) && each >= 0)
+    && value[2] > 0 && value[3] > 0;
 
 /**
  * Creates the memory of the loads that endpoints state. One instance gets few responses of each endpoint, so the instances
--- a/packages/gypsumstage-steering/src/traffic/setQuotaShare.ts
+++ b/packages/gypsumstage-steering/src/traffic/setQuotaShare.ts
@@ -11,6 +11,7 @@
  * @param share - the new share, 0 to 1
  * @param untilMs - when the new share ends, on the lease clock
  * @param nowMs - current time of the lease clock
+ * @param monotonicMs - current time of the monotonic clock
  * @returns the bucket with the new share
  */
 export const setQuotaShare = (
@@ -19,11 +20,12 @@
     share: number,
     untilMs: number,
     nowMs: number,
+    monotonicMs: number,
 ): QuotaBucket => {
-    const { tokens } = refillQuotaBucket(bucket, budget, nowMs);
+    const { tokens } = refillQuotaBucket(bucket, budget, nowMs, monotonicMs);
     return {
         tokens: Math.min(tokens, budget.stock * share),
-        refilledAtMs: nowMs,
+        refilledAtMs: monotonicMs,
         share,
         shareUntilMs: untilMs,
     };
