--- a/packages/gypsumstage-instance/src/request/createRequestHandler.ts
+++ b/packages/gypsumstage-instance/src/request/createRequestHandler.ts
@@ -28,6 +28,9 @@
 /** Time in which a request that matches no route has to be answered. */
 const DEFAULT_TIMEOUT_MS = 10_000;
 
+/** Refusals of which there may be thousands a second in an overload. */
+const SUMMARIZED_REASONS: ReadonlySet<string> = new Set(["over-cap", "queue-late", "queue-full"]);
+
 const UNKNOWN_LABELS: ReplyLabels = { service: "unknown", kind: "unknown" };
 
 const withUnknownLabels = (reply: Reply): LabelledReply => ({ reply, labels: UNKNOWN_LABELS });
@@ -39,6 +42,10 @@
 const toFramedReply = (reply: Reply): Reply =>
     reply.kind === "relayed" ? { ...reply, isEndStated: true } : reply;
 
+/** Returns whether a refusal is counted in a line that is logged once a second, as the cheapest replies must not cost a line each. */
+const isSummarized = (reply: Reply): boolean =>
+    reply.kind === "refused" && SUMMARIZED_REASONS.has(reply.reason);
+
 /**
  * Creates the handler of the requests of callers or of other instances: it checks the head, reads the body, checks the
  * request against the limits, finds its route and workspace, serves it and writes the reply. Requests that get no
@@ -149,7 +156,7 @@
         else {
             ctx.metrics.countRelay("received", reply.kind);
         }
-        if (reply.kind !== "relayed") {
+        if (reply.kind !== "relayed" && !isSummarized(reply)) {
             const { requestId } = ctx.headerCodec.readRequest(req.headers);
             ctx.log("info", "request-not-served", {
                 request: requestId,
