--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -125,7 +125,7 @@
         await sleep(OFF_MS);
         serving = [...kept, ...added];
         for (const machine of serving) {
-            machine.writeSettings(seedHosts);
+            machine.writeSettings(seedHosts, false);
             machine.start();
         }
         // The settings follow within `seedLag`; then all seeds are machines that run.
@@ -136,7 +136,7 @@
         }
         const newSeeds = [kept[0], kept[1], kept[3]].map(machine => machine.host);
         for (const machine of serving) {
-            machine.writeSettings(newSeeds);
+            machine.writeSettings(newSeeds, false);
             machine.signal("SIGHUP");
         }
         record.write("the settings name machines that run as seeds", { seeds: newSeeds.join(",") });
--- a/review/standins-2/lib.mjs
+++ b/review/standins-2/lib.mjs
@@ -281,7 +281,9 @@
 
 const BASE_CONTRACTS = ["base", "drain", "config", "cost", "retry", "recover", "places", "platform"];
 
-const formatSettings = ({ name, host, zone, ports, seeds, storeAddress, bounds = "", contracts = BASE_CONTRACTS }) => `
+const formatSettings = ({
+    name, host, zone, ports, seeds, storeAddress, isFirstStart, bounds = "", contracts = BASE_CONTRACTS,
+}) => `
 node = "${name}"
 role = "instance"
 machineClass = "front"
@@ -291,7 +293,7 @@
 region = "${ZONES[zone]}"
 internalPortRange = [${ports.internal},${ports.internal + 1}]
 seeds = [${seeds.map(seed => `"${seed}:${ports.control}"`).join(",")}]
-bootstrap = true
+bootstrap = ${isFirstStart}
 lossCounts = false
 discovery = "platform"
 entrypoint = "directory"
@@ -359,7 +361,11 @@
         logFile,
         front: `${host}:${ports.front}`,
         /** Writes the settings file, as the platform does at every start and whenever the settings change. */
-        writeSettings: seeds => writeFileSync(file, formatSettings({ name, host, zone, ports, seeds, storeAddress, bounds, contracts })),
+        writeSettings: (seeds, isFirstStart = true) =>
+            writeFileSync(
+                file,
+                formatSettings({ name, host, zone, ports, seeds, storeAddress, isFirstStart, bounds, contracts }),
+            ),
         start: () => {
             record.write("starts", { machine: name });
             child = spawn(process.execPath, [
