--- a/review/standins-3/lib.mjs
+++ b/review/standins-3/lib.mjs
@@ -143,7 +143,10 @@
     let leaving = false;
     let hasExited = false;
     const server = http.createServer({ keepAliveTimeout: 10_000 }, async (req, res) => {
-        if (leaving) res.setHeader("connection", "close");
+        if (leaving) {
+            res.setHeader("connection", "close");
+            res.setHeader("server-leaving", "1");
+        }
         if (req.url === "/health") {
             res.writeHead(leaving ? 503 : 200, { "instance-id": id, "cold-ms": "0" }).end();
             return;
@@ -158,7 +161,10 @@
         await sleep(workMs);
         run.ended = !hasExited;
         if (!res.destroyed) {
-            if (leaving) res.setHeader("connection", "close");
+            if (leaving) {
+                res.setHeader("connection", "close");
+                res.setHeader("server-leaving", "1");
+            }
             res.writeHead(200, { "attempt-id": req.headers["attempt-id"], "response-stamp": `stamp-${id}` }).end(`done by ${id}`);
         }
     });
