--- a/review/standins-3/lib.mjs
+++ b/review/standins-3/lib.mjs
@@ -110,6 +110,7 @@
     const openDoor = async (delayMs = 0) => {
         const sockets = new Set();
         const watches = new Set();
+        let isCut = false;
         const server = http.createServer({ keepAliveTimeout: 60_000 }, (req, res) => {
             if (req.url.includes("watch=")) {
                 watches.add(res);
@@ -118,6 +119,10 @@
             void handle(req, res, delayMs);
         });
         server.on("connection", s => {
+            if (isCut) {
+                s.resetAndDestroy();
+                return;
+            }
             sockets.add(s);
             s.on("close", () => sockets.delete(s));
         });
@@ -127,6 +132,12 @@
             address: `127.0.0.1:${server.address().port}`,
             watching: () => watches.size,
             resetAll: () => sockets.forEach(s => s.resetAndDestroy()),
+            /** Cuts the machine off from the store: its connections are reset, and so are new ones until the end of the cut. */
+            cut: () => {
+                isCut = true;
+                sockets.forEach(s => s.resetAndDestroy());
+            },
+            heal: () => { isCut = false; },
             /** Ends the watches that wait, and no other call. */
             cutWatches: () => watches.forEach(res => res.socket?.resetAndDestroy()),
             /** Resets the connections on which a watch of this kind waits, and no others. */
